--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -1,4 +1,4 @@
-// Command simhost hosts ploverchute routers on the simulator's wire: batches on standard input, replies on
+// Command simhost hosts cloverdoor routers on the simulator's wire: batches on standard input, replies on
 // standard output.
 package main
 
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"ploverchute/internal/wire"
+	"cloverdoor/internal/wire"
 )
 
 func main() {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"io"
 
-	"ploverchute/policy"
+	"cloverdoor/policy"
 )
 
 // Host runs the routers of one process: each batch's events go to the router they name, and its actions
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"ploverchute/policy"
+	"cloverdoor/policy"
 )
 
 type batch struct {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"ploverchute/policy"
+	"cloverdoor/policy"
 )
 
 const born = `{"moment-us":1000,"happened":[{"op":"Born","proxy-id":"proxy/1","prng":7,"conf":` +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"ploverchute/policy"
+	"cloverdoor/policy"
 )
 
 // A proxy hands the router what it learns and carries out the actions it gets back.
