--- /dev/null
+++ b/cmd/cloverdoor/main.go
@@ -0,0 +1,121 @@
+// Command cloverdoor is one edge proxy: it takes requests from clients over FastCGI, has package policy decide
+// which cache answers each, and keeps up with the coordinator's list of caches and purges.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
+	"cloverdoor/internal/proxy"
+	"cloverdoor/internal/settings"
+)
+
+// config is the file that BALANCER_CONFIG names.
+type config struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Coordinator string          `json:"coordinator"`
+	Known       feed.Known      `json:"known"`
+	Settings    json.RawMessage `json:"settings"`
+
+	listen, coordinator netip.AddrPort
+	proxy               proxy.Config
+}
+
+func main() {
+	logger := log.New(os.Stderr, "cloverdoor: ", 0)
+	cfg, err := load(os.Getenv)
+	if err == nil {
+		err = run(cfg, logger)
+	}
+	if err != nil {
+		logger.Print(err)
+		os.Exit(1)
+	}
+}
+
+func run(cfg *config, logger *log.Logger) error {
+	// A garbage collector that knows the limit works harder near it; the platform would kill the process.
+	debug.SetMemoryLimit(int64(cfg.proxy.Memory) * 6 / 10)
+	loop, err := net.NewLoop()
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	p := proxy.New(loop, cfg.proxy, logger)
+	if _, err := p.Listen(cfg.listen, proxy.ClientSockets(cfg.Limits.Sockets)); err != nil {
+		return err
+	}
+	p.Follow(cfg.coordinator, cfg.Known.Index)
+	return p.Run(stop)
+}
+
+// load reads the configuration. The environment's address goes before the file's.
+func load(env func(string) string) (*config, error) {
+	path := env("BALANCER_CONFIG")
+	if path == "" {
+		return nil, errors.New("BALANCER_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if listen := env("BALANCER_LISTEN"); listen != "" {
+		c.Listen = listen
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return &c, nil
+}
+
+func (c *config) check() (err error) {
+	if c.listen, err = netip.ParseAddrPort(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if c.coordinator, err = netip.ParseAddrPort(c.Coordinator); err != nil {
+		return fmt.Errorf("coordinator: %w", err)
+	}
+	seed, err := strconv.ParseUint(c.Seed, 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	if c.Limits.MemoryMB < 16 || c.Limits.Sockets < 64 {
+		return errors.New("limits: memory_mb must be 16 or more and sockets 64 or more")
+	}
+	for _, ev := range c.Known.Updates {
+		if err := ev.Check(); err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+	}
+	set, err := settings.Decode(c.Settings)
+	if err != nil {
+		return err
+	}
+	if len(set.Policy.Classes) == 0 {
+		return errors.New("settings: no classes")
+	}
+	c.proxy = proxy.Config{Settings: set, Seed: seed, Known: c.Known, Sockets: c.Limits.Sockets,
+		Memory: c.Limits.MemoryMB << 20}
+	return nil
+}
--- /dev/null
+++ b/internal/fastcgi/fastcgi.go
@@ -0,0 +1,312 @@
+// Package fastcgi is the codec of the client side: FastCGI 1.0 in the Responder role. It decodes bytes into
+// requests and encodes answers; it touches no socket and keeps no more than its limits allow.
+package fastcgi
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// Record types, roles and flags of FastCGI 1.0.
+const (
+	version       = 1
+	typeBegin     = 1
+	typeAbort     = 2
+	typeEnd       = 3
+	typeParams    = 4
+	typeStdin     = 5
+	typeStdout    = 6
+	typeData      = 8
+	typeGetValues = 9
+	typeGetResult = 10
+	typeUnknown   = 11
+	roleResponder = 1
+	flagKeepConn  = 1
+	headerLen     = 8
+	maxContent    = 65535
+)
+
+// Limits of one connection.
+const (
+	maxOpen   = 64        // requests being received or answered; the protocol page says clients keep to 32
+	maxParams = 16 << 10  // bytes of one request's parameters
+	maxBody   = 256 << 10 // bytes of one request's body; an object holds 240,000 at most
+)
+
+// ProtocolStatus is the protocol's own verdict in END_REQUEST.
+type ProtocolStatus uint8
+
+// Protocol statuses.
+const (
+	Complete      ProtocolStatus = 0
+	CantMultiplex ProtocolStatus = 1
+	Overloaded    ProtocolStatus = 2
+	UnknownRole   ProtocolStatus = 3
+)
+
+// Request is one whole request.
+type Request struct {
+	ID       uint16
+	KeepConn bool
+	Script   string            // SCRIPT_NAME
+	Params   map[string]string // as sent, under their CGI names
+	Body     []byte
+}
+
+// Event is what a connection's bytes meant: *Request, Abort or Reply.
+type Event interface{}
+
+// Abort says that the client has given up a request.
+type Abort struct{ ID uint16 }
+
+// Reply is bytes that the protocol itself owes the client, with no request for the application behind them.
+type Reply struct {
+	Data  []byte
+	Close bool // the client asked for the connection to be closed after this
+}
+
+// Errors that end a connection.
+var (
+	ErrVersion = errors.New("fastcgi: not version 1")
+	ErrTooBig  = errors.New("fastcgi: request exceeds its limit")
+	ErrTooMany = errors.New("fastcgi: too many open requests on one connection")
+	ErrRecord  = errors.New("fastcgi: malformed record")
+)
+
+type partial struct {
+	req        Request
+	params     []byte
+	paramsDone bool
+	role       uint16
+}
+
+// Decoder reads one connection's records. The zero value is ready.
+type Decoder struct {
+	open     map[uint16]*partial // being received
+	answered map[uint16]bool     // received whole, still to be answered
+}
+
+// Done tells the decoder that the request has been answered or abandoned, so its number may be used again.
+func (d *Decoder) Done(id uint16) { delete(d.answered, id) }
+
+// Busy says whether a request is being received or waits for its answer.
+func (d *Decoder) Busy() bool { return len(d.open)+len(d.answered) > 0 }
+
+// Decode takes one record off data. It returns how many bytes it used, 0 when the record is not whole yet,
+// and an event when the record completed one, else nil. An error is final for the connection.
+func (d *Decoder) Decode(data []byte) (used int, ev Event, err error) {
+	if len(data) < headerLen {
+		return 0, nil, nil
+	}
+	if data[0] != version {
+		return 0, nil, ErrVersion
+	}
+	content, padding := int(binary.BigEndian.Uint16(data[4:])), int(data[6])
+	used = headerLen + content + padding
+	if len(data) < used {
+		return 0, nil, nil
+	}
+	ev, err = d.record(data[1], binary.BigEndian.Uint16(data[2:]), data[headerLen:headerLen+content])
+	return used, ev, err
+}
+
+func (d *Decoder) record(kind byte, id uint16, content []byte) (Event, error) {
+	if id == 0 {
+		return management(kind, content)
+	}
+	switch kind {
+	case typeBegin:
+		return d.begin(id, content)
+	case typeAbort:
+		return d.abort(id)
+	}
+	p := d.open[id]
+	if p == nil {
+		return nil, nil // FastCGI: records of a request that is not open are ignored
+	}
+	switch kind {
+	case typeParams:
+		return d.addParams(p, content)
+	case typeStdin:
+		return d.addBody(p, content)
+	case typeData:
+		return nil, nil // the Responder role has no use for it
+	}
+	return Reply{Data: unknownType(kind)}, nil
+}
+
+func (d *Decoder) begin(id uint16, content []byte) (Event, error) {
+	if len(content) != 8 {
+		return nil, fmt.Errorf("%w: BEGIN_REQUEST of %d bytes", ErrRecord, len(content))
+	}
+	if d.open[id] != nil || d.answered[id] {
+		return nil, fmt.Errorf("%w: request %d begun twice", ErrRecord, id)
+	}
+	if len(d.open)+len(d.answered) >= maxOpen {
+		return nil, ErrTooMany
+	}
+	keep := content[2]&flagKeepConn != 0
+	if role := binary.BigEndian.Uint16(content); role != roleResponder {
+		return Reply{Data: AppendEnd(nil, id, 0, UnknownRole), Close: !keep}, nil
+	}
+	if d.open == nil {
+		d.open, d.answered = map[uint16]*partial{}, map[uint16]bool{}
+	}
+	d.open[id] = &partial{req: Request{ID: id, KeepConn: keep}}
+	return nil, nil
+}
+
+// abort ends a request in either state. One that had not come whole is answered here: the application never
+// heard of it.
+func (d *Decoder) abort(id uint16) (Event, error) {
+	if p := d.open[id]; p != nil {
+		delete(d.open, id)
+		return Reply{Data: AppendEnd(nil, id, 1, Complete), Close: !p.req.KeepConn}, nil
+	}
+	if d.answered[id] {
+		return Abort{ID: id}, nil
+	}
+	return nil, nil
+}
+
+func (d *Decoder) addParams(p *partial, content []byte) (Event, error) {
+	if len(content) > 0 {
+		if p.paramsDone || len(p.params)+len(content) > maxParams {
+			return nil, ErrTooBig
+		}
+		p.params = append(p.params, content...)
+		return nil, nil
+	}
+	params, err := decodePairs(p.params)
+	if err != nil {
+		return nil, err
+	}
+	p.req.Params, p.req.Script = params, params["SCRIPT_NAME"]
+	p.params, p.paramsDone = nil, true
+	return nil, nil
+}
+
+func (d *Decoder) addBody(p *partial, content []byte) (Event, error) {
+	if len(content) > 0 {
+		if len(p.req.Body)+len(content) > maxBody {
+			return nil, ErrTooBig
+		}
+		p.req.Body = append(p.req.Body, content...)
+		return nil, nil
+	}
+	if !p.paramsDone {
+		return nil, fmt.Errorf("%w: STDIN ended before PARAMS", ErrRecord)
+	}
+	delete(d.open, p.req.ID)
+	d.answered[p.req.ID] = true
+	return &p.req, nil
+}
+
+// management answers the records that belong to no request.
+func management(kind byte, content []byte) (Event, error) {
+	if kind != typeGetValues {
+		return Reply{Data: unknownType(kind)}, nil
+	}
+	asked, err := decodePairs(content)
+	if err != nil {
+		return nil, err
+	}
+	var body []byte
+	for _, known := range [][2]string{{"FCGI_MAX_CONNS", "256"}, {"FCGI_MAX_REQS", "2048"}, {"FCGI_MPXS_CONNS", "1"}} {
+		if _, ok := asked[known[0]]; ok {
+			body = appendPair(body, known[0], known[1])
+		}
+	}
+	return Reply{Data: append(appendHeader(nil, typeGetResult, 0, len(body)), body...)}, nil
+}
+
+func unknownType(kind byte) []byte {
+	return append(appendHeader(nil, typeUnknown, 0, 8), kind, 0, 0, 0, 0, 0, 0, 0)
+}
+
+func decodePairs(data []byte) (map[string]string, error) {
+	pairs := map[string]string{}
+	for len(data) > 0 {
+		var lengths [2]int
+		for i := range lengths {
+			n, size := pairLength(data)
+			if size == 0 {
+				return nil, fmt.Errorf("%w: cut name-value pair", ErrRecord)
+			}
+			lengths[i], data = n, data[size:]
+		}
+		name, value := lengths[0], lengths[1]
+		if name > len(data) || value > len(data)-name {
+			return nil, fmt.Errorf("%w: cut name-value pair", ErrRecord)
+		}
+		pairs[string(data[:name])] = string(data[name : name+value])
+		data = data[name+value:]
+	}
+	return pairs, nil
+}
+
+// pairLength reads one length: a byte, or four with the top bit set. A size of 0 says that it is cut.
+func pairLength(data []byte) (n, size int) {
+	if len(data) == 0 {
+		return 0, 0
+	}
+	if data[0] < 0x80 {
+		return int(data[0]), 1
+	}
+	if len(data) < 4 {
+		return 0, 0
+	}
+	return int(binary.BigEndian.Uint32(data) & 0x7fffffff), 4
+}
+
+func appendPair(dst []byte, name, value string) []byte {
+	for _, s := range []string{name, value} {
+		if len(s) < 0x80 {
+			dst = append(dst, byte(len(s)))
+		} else {
+			dst = binary.BigEndian.AppendUint32(dst, uint32(len(s))|1<<31)
+		}
+	}
+	return append(append(dst, name...), value...)
+}
+
+func appendHeader(dst []byte, kind byte, id uint16, length int) []byte {
+	return append(dst, version, kind, byte(id>>8), byte(id), byte(length>>8), byte(length), 0, 0)
+}
+
+// Response is one whole CGI response.
+type Response struct {
+	Status  int
+	Headers [][2]string
+	Body    []byte
+}
+
+// AppendResponse encodes the response to request id with its END_REQUEST.
+func AppendResponse(dst []byte, id uint16, r Response) []byte {
+	head := strconv.AppendInt([]byte("Status: "), int64(r.Status), 10)
+	for _, h := range r.Headers {
+		head = append(append(append(append(head, "\r\n"...), h[0]...), ": "...), h[1]...)
+	}
+	head = append(head, "\r\n\r\n"...)
+	dst = appendStdout(dst, id, head)
+	dst = appendStdout(dst, id, r.Body)
+	dst = appendHeader(dst, typeStdout, id, 0)
+	return AppendEnd(dst, id, 0, Complete)
+}
+
+func appendStdout(dst []byte, id uint16, data []byte) []byte {
+	for len(data) > 0 {
+		n := min(len(data), maxContent)
+		dst = append(appendHeader(dst, typeStdout, id, n), data[:n]...)
+		data = data[n:]
+	}
+	return dst
+}
+
+// AppendEnd encodes a bare END_REQUEST.
+func AppendEnd(dst []byte, id uint16, appStatus uint32, status ProtocolStatus) []byte {
+	dst = binary.BigEndian.AppendUint32(appendHeader(dst, typeEnd, id, 8), appStatus)
+	return append(dst, byte(status), 0, 0, 0)
+}
--- /dev/null
+++ b/internal/net/conn.go
@@ -0,0 +1,355 @@
+package net
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Handler owns a connection.
+type Handler interface {
+	// Receive takes what has come in and not been used yet, and returns how much of it is used now. It is
+	// called again when more has come. An error closes the connection.
+	Receive(data []byte) (used int, err error)
+	// Closed is called once, when the connection has ended for any reason but Close. err is io.EOF when the
+	// peer closed it in good order.
+	Closed(err error)
+}
+
+// Message is output that is made only when its first byte is about to be written.
+type Message interface {
+	// Encode returns the bytes, or false when the message is not to be sent any more. It may be called again
+	// when the peer took nothing.
+	Encode() ([]byte, bool)
+	// Started is called once, when the first byte has been written.
+	Started()
+}
+
+// ErrConnect marks a connection that never came up: nothing was sent on it.
+var ErrConnect = errors.New("not connected")
+
+// ErrBacklog marks a connection whose peer does not take what it is sent.
+var ErrBacklog = errors.New("peer takes no output")
+
+const (
+	pauseAt    = 1 << 20  // queued output at which no more is read from that peer
+	mostQueued = 16 << 20 // at which the connection is given up
+
+	lingerFor = 200 * time.Millisecond // how long the peer's end of a closed connection is waited for
+)
+
+// Conn is one non-blocking TCP connection.
+type Conn struct {
+	loop    *Loop
+	fd      int
+	handler Handler
+	in      []byte
+	queue   []output
+	queued  int // bytes in queue
+	events  uint32
+	timeout *Timer // of the connect
+	up      bool
+	closed  bool
+	dirty   bool
+	closing bool // no more is taken either way; closed when the peer has closed too
+	heard   Clock
+	wrote   Clock
+}
+
+// output is bytes, or a message that has not been encoded yet.
+type output struct {
+	data []byte
+	msg  Message
+}
+
+// Up says whether the connection has been made.
+func (c *Conn) Up() bool { return c.up }
+
+// Ended says whether the connection has ended or is about to.
+func (c *Conn) Ended() bool { return c.closed || c.closing }
+
+// Heard is when the peer was last heard of: made the connection or sent something.
+func (c *Conn) Heard() Clock { return c.heard }
+
+// Backlog is how many bytes wait to be written, and since when none was.
+func (c *Conn) Backlog() (bytes int, since Clock) { return c.queued, c.wrote }
+
+// Write queues bytes; the connection keeps them.
+func (c *Conn) Write(data []byte) {
+	if c.Ended() || len(data) == 0 {
+		return
+	}
+	c.push(output{data: data})
+}
+
+// Send queues a message.
+func (c *Conn) Send(m Message) {
+	if !c.Ended() {
+		c.push(output{msg: m})
+	}
+}
+
+func (c *Conn) push(o output) {
+	if c.queued == 0 {
+		c.wrote = c.loop.now
+	}
+	c.queue = append(c.queue, o)
+	c.count(len(o.data))
+	if !c.dirty {
+		c.dirty = true
+		c.loop.dirty = append(c.loop.dirty, c)
+	}
+}
+
+func (c *Conn) count(n int) {
+	c.queued += n
+	c.loop.held += n
+}
+
+// Close ends the connection at once. Its handler is not called any more.
+func (c *Conn) Close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.loop.Stop(c.timeout)
+	c.loop.held -= c.queued + len(c.in)
+	c.queued, c.in, c.queue = 0, nil, nil
+	c.loop.remove(c.fd)
+}
+
+// CloseFlushed ends the connection in good order: what is queued is written, the peer is told that no more
+// comes, and its own end is waited for. Closing at once with input unread would reset the connection, and the
+// peer would lose answers still on their way.
+func (c *Conn) CloseFlushed() {
+	if c.Ended() {
+		return
+	}
+	c.closing = true
+	c.loop.At(c.loop.now+lingerFor, func() { c.fail(io.EOF) })
+	if len(c.queue) == 0 {
+		c.shutdown()
+	}
+}
+
+func (c *Conn) shutdown() {
+	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
+		c.fail(fmt.Errorf("shutdown: %w", err))
+		return
+	}
+	c.watch()
+}
+
+func (c *Conn) fail(err error) {
+	if c.closed {
+		return
+	}
+	if !c.up {
+		err = fmt.Errorf("%w: %w", ErrConnect, err)
+	}
+	c.Close()
+	c.handler.Closed(err)
+}
+
+func (c *Conn) ready(events uint32) {
+	if !c.up {
+		c.connected()
+	}
+	if c.up && !c.closed && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		c.receive()
+	}
+	if c.up && !c.closed && events&unix.EPOLLOUT != 0 {
+		c.flush()
+	}
+}
+
+// connected looks at how a connect ended.
+func (c *Conn) connected() {
+	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	if _, err := unix.Getpeername(c.fd); err != nil {
+		return // not yet
+	}
+	c.loop.Stop(c.timeout)
+	c.up, c.heard, c.wrote = true, c.loop.now, c.loop.now
+	c.flush()
+}
+
+// receive reads once and hands over all that is held.
+func (c *Conn) receive() {
+	if c.closing { // the peer's end of a closed conversation
+		if n, err := unix.Read(c.fd, c.loop.read); n == 0 || err != nil && !retry(err) {
+			c.fail(io.EOF)
+		}
+		return
+	}
+	n, err := unix.Read(c.fd, c.loop.read)
+	switch {
+	case err != nil && retry(err):
+		return
+	case err != nil:
+		c.fail(fmt.Errorf("read: %w", err))
+		return
+	case n == 0:
+		c.fail(io.EOF)
+		return
+	}
+	c.heard = c.loop.now
+	data := c.loop.read[:n]
+	if len(c.in) > 0 {
+		c.in = append(c.in, data...)
+		c.loop.held += n
+		data = c.in
+	}
+	c.handOver(data)
+}
+
+func (c *Conn) handOver(data []byte) {
+	used, err := c.handler.Receive(data)
+	if c.closed {
+		return
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	rest := data[used:]
+	c.loop.held += len(rest) - len(c.in)
+	if used > 0 || len(c.in) == 0 {
+		c.in = append([]byte(nil), rest...)
+	}
+}
+
+func retry(err error) bool { return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) }
+
+// flush writes until the peer takes no more.
+func (c *Conn) flush() {
+	for c.up && !c.closed && len(c.queue) > 0 {
+		more, err := c.writeFirst()
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if !more {
+			break
+		}
+	}
+	switch {
+	case c.closed:
+	case c.queued > mostQueued:
+		c.fail(ErrBacklog)
+	case c.closing && len(c.queue) == 0:
+		c.shutdown()
+	default:
+		c.watch()
+	}
+}
+
+// writeFirst writes from the first output of the queue; more is false when the peer takes no more now. A
+// message that the peer took nothing of stays unmade, as what it says may have to change until it goes.
+func (c *Conn) writeFirst() (more bool, err error) {
+	first := &c.queue[0]
+	data := first.data
+	if first.msg != nil {
+		made, ok := first.msg.Encode()
+		if !ok {
+			c.queue = c.queue[1:]
+			return true, nil
+		}
+		data = made
+	}
+	n, err := unix.Write(c.fd, data)
+	if err != nil && !retry(err) {
+		return false, fmt.Errorf("write: %w", err)
+	}
+	if n <= 0 {
+		return false, nil
+	}
+	c.wrote = c.loop.now
+	if msg := first.msg; msg != nil {
+		c.count(len(data))
+		first.msg = nil
+		msg.Started()
+	}
+	c.count(-n)
+	if n < len(data) {
+		first.data = data[n:]
+		return false, nil
+	}
+	c.queue = c.queue[1:]
+	return true, nil
+}
+
+// watch asks epoll for what the connection waits for: room for output, and input unless the peer leaves too
+// much of ours unread.
+func (c *Conn) watch() {
+	events := uint32(unix.EPOLLIN)
+	if c.queued >= pauseAt {
+		events = 0
+	}
+	if !c.up || len(c.queue) > 0 {
+		events |= unix.EPOLLOUT
+	}
+	if events == c.events {
+		return
+	}
+	if err := c.loop.change(c.fd, events); err != nil {
+		c.fail(err)
+		return
+	}
+	c.events = events
+}
+
+// Dial starts a connection. Output may be queued at once; it is written when the connection is up. One that is
+// not up within timeout has failed.
+func (l *Loop) Dial(addr netip.AddrPort, timeout time.Duration, h Handler) (*Conn, error) {
+	fd, err := socket(addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{loop: l, fd: fd, handler: h, events: unix.EPOLLOUT, heard: l.now, wrote: l.now}
+	err = unix.Connect(fd, sockaddr(addr))
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		unix.Close(fd) //nolint:errcheck // the connect's error is what counts
+		return nil, fmt.Errorf("%w: connect %s: %w", ErrConnect, addr, err)
+	}
+	if err := l.add(fd, c.events, c); err != nil {
+		unix.Close(fd) //nolint:errcheck // as above
+		return nil, err
+	}
+	c.timeout = l.At(l.now+timeout, func() { c.fail(errors.New("connect timed out")) })
+	return c, nil
+}
+
+func socket(addr netip.AddrPort) (int, error) {
+	family := unix.AF_INET
+	if addr.Addr().Is6() {
+		family = unix.AF_INET6
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("socket: %w", err)
+	}
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
+		unix.Close(fd) //nolint:errcheck // the first error is what counts
+		return -1, fmt.Errorf("setsockopt: %w", err)
+	}
+	return fd, nil
+}
+
+func sockaddr(addr netip.AddrPort) unix.Sockaddr {
+	if addr.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
+}
--- /dev/null
+++ b/internal/net/listen.go
@@ -0,0 +1,96 @@
+package net
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// acceptPause is how long a listener rests when the process is out of descriptors: the connections that wait
+// would else wake the loop without end.
+const acceptPause = 50 * time.Millisecond
+
+// Listener accepts connections.
+type Listener struct {
+	loop   *Loop
+	fd     int
+	accept func(*Conn) Handler
+	closed bool
+}
+
+// Listen accepts connections on addr alone. accept gives each its handler, or nil to close it.
+func (l *Loop) Listen(addr netip.AddrPort, accept func(*Conn) Handler) (*Listener, error) {
+	fd, err := socket(addr)
+	if err != nil {
+		return nil, err
+	}
+	ln := &Listener{loop: l, fd: fd, accept: accept}
+	err = errors.Join(
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1),
+		unix.Bind(fd, sockaddr(addr)))
+	if err == nil {
+		err = unix.Listen(fd, 1024)
+	}
+	if err == nil {
+		err = l.add(fd, unix.EPOLLIN, ln)
+	}
+	if err != nil {
+		unix.Close(fd) //nolint:errcheck // the first error is what counts
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return ln, nil
+}
+
+// Close stops accepting.
+func (ln *Listener) Close() {
+	if !ln.closed {
+		ln.closed = true
+		ln.loop.remove(ln.fd)
+	}
+}
+
+func (ln *Listener) ready(uint32) {
+	for !ln.closed {
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOMEM):
+			ln.pause()
+			return
+		case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return
+		}
+		ln.take(fd)
+	}
+}
+
+func (ln *Listener) pause() {
+	if err := ln.loop.change(ln.fd, 0); err != nil {
+		return
+	}
+	ln.loop.At(ln.loop.now+acceptPause, func() {
+		if !ln.closed {
+			ln.loop.change(ln.fd, unix.EPOLLIN) //nolint:errcheck // a live listener's descriptor is in epoll
+		}
+	})
+}
+
+func (ln *Listener) take(fd int) {
+	l := ln.loop
+	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN, heard: l.now, wrote: l.now}
+	if c.handler = ln.accept(c); c.handler == nil {
+		unix.Close(fd) //nolint:errcheck // refused
+		return
+	}
+	err := errors.Join(
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
+		l.add(fd, c.events, c))
+	if err != nil {
+		c.fail(err)
+	}
+}
--- /dev/null
+++ b/internal/net/loop.go
@@ -0,0 +1,155 @@
+// Package net is the project's own event loop: epoll, timers, non-blocking connections with write queues, and
+// pools of connections. Everything in it belongs to one goroutine. It knows bytes only, no protocol.
+package net
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock is time since the Unix epoch, the one origin of all times in the program.
+type Clock = time.Duration
+
+// pollable is what an epoll event is delivered to.
+type pollable interface{ ready(events uint32) }
+
+// Loop waits for readiness and for timers. A turn is: Wait, then what its callbacks queued is carried out,
+// then Flush.
+type Loop struct {
+	epoll  int
+	fds    map[int]pollable
+	timers timers
+	now    Clock
+	dirty  []*Conn // with output queued in this turn
+	held   int     // bytes held in all buffers and queues
+	read   []byte  // shared by all reads
+	events []unix.EpollEvent
+}
+
+// readSize is how much one connection may bring in one turn: none holds up the others.
+const readSize = 128 << 10
+
+// NewLoop returns an empty loop.
+func NewLoop() (*Loop, error) {
+	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll_create: %w", err)
+	}
+	l := &Loop{epoll: epoll, fds: map[int]pollable{}, read: make([]byte, readSize), events: make([]unix.EpollEvent, 256)}
+	l.tick()
+	return l, nil
+}
+
+// Now is the clock time of this turn.
+func (l *Loop) Now() Clock { return l.now }
+
+// Held is how many bytes all connections hold, received and not used or queued and not written.
+func (l *Loop) Held() int { return l.held }
+
+// tick reads the clock. A clock that is set back stands still: times must not run backwards.
+func (l *Loop) tick() { l.now = max(l.now, Clock(time.Now().UnixNano())) }
+
+// Wait sleeps until something is ready, the next timer is due or most has passed, and runs the callbacks of all
+// that is ready.
+func (l *Loop) Wait(most time.Duration) error {
+	l.tick()
+	if len(l.timers) > 0 {
+		most = min(most, l.timers[0].at-l.now)
+	}
+	millis := int((max(most, 0) + time.Millisecond - 1) / time.Millisecond)
+	n, err := unix.EpollWait(l.epoll, l.events, millis)
+	if err != nil && !errors.Is(err, unix.EINTR) {
+		return fmt.Errorf("epoll_wait: %w", err)
+	}
+	l.tick()
+	for _, ev := range l.events[:max(n, 0)] {
+		// Looked up by number: one closed earlier in this turn is not there any more.
+		if p := l.fds[int(ev.Fd)]; p != nil {
+			p.ready(ev.Events)
+		}
+	}
+	l.fire()
+	return nil
+}
+
+// Flush writes what was queued in this turn, as far as the peers take it.
+func (l *Loop) Flush() {
+	for len(l.dirty) > 0 {
+		list := l.dirty
+		l.dirty = nil
+		for _, c := range list {
+			c.dirty = false
+			c.flush()
+		}
+	}
+}
+
+func (l *Loop) add(fd int, events uint32, p pollable) error {
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
+		return fmt.Errorf("epoll_ctl: %w", err)
+	}
+	l.fds[fd] = p
+	return nil
+}
+
+func (l *Loop) change(fd int, events uint32) error {
+	return unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+}
+
+// remove closes fd, which takes it out of epoll too.
+func (l *Loop) remove(fd int) {
+	delete(l.fds, fd)
+	unix.Close(fd) //nolint:errcheck // nothing can be done about it
+}
+
+// Timer calls a function once.
+type Timer struct {
+	at    Clock
+	call  func()
+	place int // in the heap; -1: not in it
+}
+
+// At calls f at the given time, in the turn that finds it due.
+func (l *Loop) At(at Clock, f func()) *Timer {
+	t := &Timer{at: at, call: f}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop takes a timer back. A nil, fired or stopped one is left alone.
+func (l *Loop) Stop(t *Timer) {
+	if t != nil && t.place >= 0 {
+		heap.Remove(&l.timers, t.place)
+	}
+}
+
+func (l *Loop) fire() {
+	for len(l.timers) > 0 && l.timers[0].at <= l.now {
+		heap.Pop(&l.timers).(*Timer).call()
+	}
+}
+
+type timers []*Timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+func (t *timers) Push(x any) {
+	x.(*Timer).place = len(*t)
+	*t = append(*t, x.(*Timer))
+}
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	x.place = -1
+	return x
+}
--- /dev/null
+++ b/internal/net/pool.go
@@ -0,0 +1,172 @@
+package net
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// ErrNoSocket says that a connection would exceed the budget for sockets.
+var ErrNoSocket = errors.New("budget for sockets is used up")
+
+// ErrRetired says that a pool's server is gone.
+var ErrRetired = errors.New("server is gone")
+
+// Limits bound the connections of all pools.
+type Limits struct {
+	Streams        int // uses that one connection carries together
+	Sockets        int // connections of all pools together
+	ConnectTimeout time.Duration
+	Idle           time.Duration // an unused connection is closed after this
+}
+
+// Pools holds a pool for each server, by the server's id. An address says nothing of who answers there: a new
+// server may take it over, and no connection to the old one may then be used for the new.
+type Pools struct {
+	loop   *Loop
+	limits Limits
+	open   func(*Slot) Handler
+	byID   map[string]*Pool
+	count  int // open connections
+}
+
+// Pool is the connections to one server.
+type Pool struct {
+	pools *Pools
+	addr  netip.AddrPort
+	slots []*Slot
+}
+
+// Slot is one pooled connection.
+type Slot struct {
+	*Conn
+	Owner Handler
+	pool  *Pool
+	Load  int  // uses under way
+	Stale bool // takes no new use; closed when the last one is over
+	used  Clock
+}
+
+// NewPools returns pools without servers. open makes the handler of each new connection; the handler calls
+// Drop when the connection has ended.
+func NewPools(l *Loop, limits Limits, open func(*Slot) Handler) *Pools {
+	return &Pools{loop: l, limits: limits, open: open, byID: map[string]*Pool{}}
+}
+
+// Set says where a server is to be found. At a new address its old connections take no new use.
+func (ps *Pools) Set(id string, addr netip.AddrPort) {
+	if p := ps.byID[id]; p != nil {
+		if p.addr == addr {
+			return
+		}
+		ps.Retire(id)
+	}
+	ps.byID[id] = &Pool{pools: ps, addr: addr}
+}
+
+// Retire forgets a server. Connections that are not up yet are given up: whoever has taken over the address
+// must not get what was meant for the old server. Uses under way end as they may.
+func (ps *Pools) Retire(id string) {
+	p := ps.byID[id]
+	if p == nil {
+		return
+	}
+	delete(ps.byID, id)
+	for _, s := range slices.Clone(p.slots) {
+		s.Stale = true
+		if !s.Up() {
+			s.fail(ErrRetired)
+		} else {
+			s.closeUnused()
+		}
+	}
+}
+
+// Refresh makes connections to a server stale: it has restarted, and those from before are dead.
+func (ps *Pools) Refresh(id string) {
+	if p := ps.byID[id]; p != nil {
+		for _, s := range slices.Clone(p.slots) {
+			s.Stale = true
+			s.closeUnused()
+		}
+	}
+}
+
+// Get returns a connection to the server for one more use: one that is up rather than one still connecting,
+// the least used first, and a new one when none fits.
+func (ps *Pools) Get(id string, fits func(*Slot) bool) (*Slot, error) {
+	p := ps.byID[id]
+	if p == nil {
+		return nil, ErrRetired
+	}
+	var best *Slot
+	for _, s := range p.slots {
+		if s.Stale || s.Ended() || s.Load >= ps.limits.Streams || !fits(s) {
+			continue
+		}
+		if best == nil || s.Up() && !best.Up() || s.Up() == best.Up() && s.Load < best.Load {
+			best = s
+		}
+	}
+	if best == nil {
+		var err error
+		if best, err = p.dial(); err != nil {
+			return nil, err
+		}
+	}
+	best.Load++
+	return best, nil
+}
+
+func (p *Pool) dial() (*Slot, error) {
+	ps := p.pools
+	if ps.count >= ps.limits.Sockets {
+		return nil, fmt.Errorf("%s: %w", p.addr, ErrNoSocket)
+	}
+	s := &Slot{pool: p, used: ps.loop.now}
+	s.Owner = ps.open(s)
+	conn, err := ps.loop.Dial(p.addr, ps.limits.ConnectTimeout, s.Owner)
+	if err != nil {
+		return nil, err
+	}
+	s.Conn = conn
+	ps.count++
+	p.slots = append(p.slots, s)
+	return s, nil
+}
+
+// Release ends one use.
+func (s *Slot) Release() {
+	s.Load--
+	s.used = s.pool.pools.loop.now
+	s.closeUnused()
+}
+
+func (s *Slot) closeUnused() {
+	if s.Stale && s.Load == 0 && !s.Ended() {
+		s.Close()
+		s.Drop()
+	}
+}
+
+// Drop takes an ended connection out of its pool.
+func (s *Slot) Drop() {
+	before := len(s.pool.slots)
+	s.pool.slots = slices.DeleteFunc(s.pool.slots, func(other *Slot) bool { return other == s })
+	s.pool.pools.count -= before - len(s.pool.slots)
+}
+
+// CloseIdle closes what has not been used for the idle time: before the server does, as a use that crosses
+// the server's close would be lost.
+func (ps *Pools) CloseIdle() {
+	for _, p := range ps.byID {
+		for _, s := range slices.Clone(p.slots) {
+			if s.Load == 0 && ps.loop.now-s.used >= ps.limits.Idle {
+				s.Stale = true
+				s.closeUnused()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"cloverdoor/internal/net"
+	"cloverdoor/internal/resp"
+	"cloverdoor/policy"
+)
+
+// attempt is one sending of a request to a cache, a parent or the origin. It ends once, with one result.
+type attempt struct {
+	p       *Proxy
+	req     *request
+	number  int
+	target  string
+	created net.Clock
+	on      *upstream // nil: it got no connection
+	started bool      // its first byte has been written: it may run
+	sentAt  net.Clock
+	ended   bool
+}
+
+// attempt carries out a Fetch: it queues the call on a connection to the target.
+func (p *Proxy) attempt(q *request, f policy.Fetch) {
+	a := &attempt{p: p, req: q, number: len(q.attempts), target: f.Target, created: p.loop.Now()}
+	q.attempts = append(q.attempts, a)
+	q.pending++
+	if q.finished {
+		p.end(a, resp.Answer{}, policy.ResultMoot)
+		return
+	}
+	slot, err := p.pools.Get(f.Target, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(q) })
+	if err != nil {
+		p.end(a, resp.Answer{}, policy.ResultConnectFailed)
+		return
+	}
+	a.on = slot.Owner.(*upstream)
+	a.on.calls[q.ID] = a
+	slot.Send(a)
+}
+
+// Encode makes the call when its first byte is about to go. The module is asked once more: while the call
+// waited for its connection its target may have been drained or its object purged.
+func (a *attempt) Encode() ([]byte, bool) {
+	if a.ended {
+		return nil, false
+	}
+	f, ok := a.p.router.Recheck(a.p.loop.Now(), a.req.number, a.number)
+	if !ok {
+		a.p.end(a, resp.Answer{}, policy.ResultMoot)
+		return nil, false
+	}
+	c := resp.Call{
+		ID: a.req.ID, Class: a.req.Name, Object: a.req.Object, Part: strconv.Itoa(a.req.Part),
+		Wait: max(a.req.deadline-a.p.loop.Now(), time.Millisecond), Keep: f.Keep, MaxAge: f.MaxAge, Have: a.req.Version,
+		Coalesce: f.Join, Shallow: f.HeldOnly, Freshen: f.Renew, Body: a.req.Body,
+	}
+	if f.Source != f.Target {
+		c.Source = f.Source
+	}
+	return resp.AppendCall(nil, &c), true
+}
+
+// Started notes that the call may run from now on.
+func (a *attempt) Started() { a.started, a.sentAt = true, a.p.loop.Now() }
+
+// answered takes the answer to an attempt. The first good one is the request's.
+func (p *Proxy) answered(a *attempt, ans resp.Answer) error {
+	result := results[ans.Word]
+	if ans.Word == resp.StillGood && a.req.Version == "" {
+		p.end(a, resp.Answer{}, policy.ResultError)
+		return errors.New("still_good for a request without a copy")
+	}
+	if result == policy.ResultOK {
+		status := Served
+		if ans.Word == resp.StillGood {
+			status, ans.Body = Unchanged, nil
+		}
+		p.answer(a.req, Answer{Status: status, Tag: ans.Tag, Body: ans.Body})
+	}
+	p.end(a, ans, result)
+	return nil
+}
+
+// A word without a result counts as an error: it may have run.
+var results = map[resp.Word]policy.Result{
+	resp.Served: policy.ResultOK, resp.StillGood: policy.ResultOK, resp.NotHere: policy.ResultMiss,
+	resp.Overload: policy.ResultFull, resp.Crashed: policy.ResultError, resp.Nobody: policy.ResultMoot,
+}
+
+// end ends an attempt and tells the module of it, once. A call that is out is stopped.
+func (p *Proxy) end(a *attempt, ans resp.Answer, result policy.Result) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.req.pending--
+	if a.on != nil {
+		a.on.leave(a, ans.Word == 0)
+	}
+	if !a.started && ans.Word == 0 { // nothing was written: it never ran, whatever ended it
+		switch result {
+		case policy.ResultCancelled:
+			result = policy.ResultMoot
+		case policy.ResultTimeout, policy.ResultReset:
+			result = policy.ResultConnectFailed
+		}
+	}
+	p.tell(policy.Outcome{ID: a.req.number, Attempt: a.number, Result: result, Note: policy.Note(ans.Note),
+		Took: p.loop.Now() - a.created, SourceWait: ans.SourceWait, Finished: a.req.finished})
+	p.forget(a.req)
+}
--- /dev/null
+++ b/internal/proxy/coordinator.go
@@ -0,0 +1,174 @@
+package proxy
+
+import (
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
+	"cloverdoor/policy"
+)
+
+const (
+	silentAfter    = 2500 * time.Millisecond // the coordinator says something every second
+	feedTimeout    = 500 * time.Millisecond
+	refollowAfter  = 100 * time.Millisecond // doubles with each attempt that brought nothing
+	refollowAtMost = time.Second
+)
+
+var (
+	errGap    = errors.New("events are missing")
+	errSilent = errors.New("coordinator is silent")
+)
+
+// follower keeps up with the coordinator's stream.
+type follower struct {
+	p     *Proxy
+	addr  netip.AddrPort
+	last  int64 // number of the last event that was taken
+	conn  *net.Conn
+	since net.Clock // when conn was begun
+	pause time.Duration
+}
+
+// Follow keeps the proxy up to date with the coordinator at addr from event last on.
+func (p *Proxy) Follow(addr netip.AddrPort, last int64) {
+	f := &follower{p: p, addr: addr, last: last, pause: refollowAfter}
+	f.connect()
+	f.watch()
+}
+
+func (f *follower) connect() {
+	f.since = f.p.loop.Now()
+	conn, err := f.p.loop.Dial(f.addr, feedTimeout, f)
+	if err != nil {
+		f.Closed(err)
+		return
+	}
+	f.conn = conn
+	conn.Write(feed.Follow(f.last))
+}
+
+// watch notices a stream that has gone silent, as that of a machine that was cut off does.
+func (f *follower) watch() {
+	if f.conn != nil && f.p.loop.Now()-max(f.conn.Heard(), f.since) > silentAfter {
+		f.conn.Close()
+		f.Closed(errSilent)
+	}
+	f.p.loop.At(f.p.loop.Now()+silentAfter/10, f.watch)
+}
+
+// Receive takes whole lines off what has come in.
+func (f *follower) Receive(data []byte) (used int, err error) {
+	for {
+		n, line, err := feed.Next(data[used:])
+		if n == 0 || err != nil {
+			return used, err
+		}
+		used += n
+		ev, err := feed.Decode(line)
+		if err != nil {
+			return used, err
+		}
+		if err := f.take(ev); err != nil {
+			return used, err
+		}
+		f.pause = refollowAfter
+	}
+}
+
+// take passes on the next event in order. Repeats are dropped; a gap means that the stream must be followed
+// anew from the last event taken.
+func (f *follower) take(ev feed.Event) error {
+	switch {
+	case ev.Index <= f.last:
+		return nil
+	case ev.Tick() || ev.Index > f.last+1:
+		return errGap
+	}
+	f.last = ev.Index
+	f.p.told(ev)
+	return nil
+}
+
+// Closed follows the stream anew, after a pause.
+func (f *follower) Closed(err error) {
+	f.conn = nil
+	f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
+	f.p.loop.At(f.p.loop.Now()+f.pause, f.connect)
+	f.pause = min(2*f.pause, refollowAtMost)
+}
+
+// told passes one event of the coordinator on to the module and keeps the pools in step with it.
+func (p *Proxy) told(ev feed.Event) {
+	if v := ev.Evict; v != nil {
+		purge := policy.Purge{Object: v.Object, Age: max(0, p.loop.Now()-time.Duration(v.At)*time.Millisecond)}
+		if v.Group != nil {
+			purge.Group = *v.Group
+		}
+		p.tell(purge)
+	}
+	if ev.Endpoints != nil {
+		p.toldServers(ev.Endpoints)
+	}
+}
+
+var states = map[string]policy.State{
+	feed.Serving: policy.Ready, feed.Draining: policy.Draining, feed.Deleted: policy.Gone,
+}
+
+func (p *Proxy) toldServers(list *feed.Endpoints) {
+	named := map[string]bool{}
+	members := policy.MemberList{Whole: list.Full}
+	for _, s := range list.Servers {
+		m, addr, err := p.member(s)
+		if err != nil {
+			p.log.Printf("server %s left out: %v", s.ID, err)
+			continue
+		}
+		named[s.ID] = m.State != policy.Gone
+		members.Members = append(members.Members, m)
+		p.place(m, s.Started, addr)
+	}
+	for id := range p.servers {
+		if live, told := named[id]; told && !live || !told && list.Full {
+			delete(p.servers, id)
+			p.pools.Retire(id)
+		}
+	}
+	p.tell(members)
+	if p.phase == Starting {
+		p.phase = Serving
+	}
+}
+
+// place tells the pools where a server is, and of its restarts.
+func (p *Proxy) place(m policy.Member, started int64, addr netip.AddrPort) {
+	if m.State == policy.Gone {
+		return
+	}
+	if before, known := p.servers[m.ID]; known && before != started {
+		p.pools.Refresh(m.ID)
+	}
+	p.servers[m.ID] = started
+	p.pools.Set(m.ID, addr)
+}
+
+// member decodes one entry of the list.
+func (p *Proxy) member(s feed.Server) (policy.Member, netip.AddrPort, error) {
+	m := policy.Member{
+		ID: s.ID, State: states[s.State], Started: time.Duration(s.Started) * time.Millisecond,
+		Kind: slices.Index(p.set.Kinds, s.Kind), Zone: slices.Index(p.set.Zones, s.Zone),
+		Weight: s.Weight, Cell: s.Cell,
+	}
+	if m.State == policy.Gone {
+		return m, netip.AddrPort{}, nil
+	}
+	if m.Kind < 0 || m.Zone < 0 {
+		return m, netip.AddrPort{}, errors.New("unknown kind or zone")
+	}
+	addr, err := netip.ParseAddrPort(s.Addr)
+	return m, addr, err
+}
--- /dev/null
+++ b/internal/proxy/front.go
@@ -0,0 +1,250 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"cloverdoor/internal/fastcgi"
+	"cloverdoor/internal/net"
+)
+
+const (
+	healthPath = "/alive"
+	opsPath    = "/ops/"
+	// stuckAfter is how long a client may take nothing of what it is owed before its connection is closed.
+	stuckAfter = 10 * time.Second
+)
+
+// Front speaks FastCGI with the clients. A front for a second protocol would stand beside it and hand the same
+// Requests to Submit.
+type Front struct {
+	p        *Proxy
+	listener *net.Listener
+	conns    map[*clientConn]bool
+	most     int
+	classes  map[string]int
+}
+
+// Listen opens the front for clients on addr.
+func (p *Proxy) Listen(addr netip.AddrPort, most int) (*Front, error) {
+	f := &Front{p: p, conns: map[*clientConn]bool{}, most: most, classes: map[string]int{}}
+	for i, c := range p.set.Policy.Classes {
+		f.classes[c.Name] = i
+	}
+	var err error
+	f.listener, err = p.loop.Listen(addr, f.accept)
+	if err != nil {
+		return nil, err
+	}
+	p.fronts = append(p.fronts, f)
+	f.watch()
+	return f, nil
+}
+
+func (f *Front) accept(c *net.Conn) net.Handler {
+	if len(f.conns) >= f.most {
+		return nil
+	}
+	cc := &clientConn{front: f, conn: c, open: map[uint16]int64{}}
+	f.conns[cc] = true
+	return cc
+}
+
+// watch looks after connections now and then: those whose peer takes nothing are closed, and when the proxy
+// is leaving all that are done with.
+func (f *Front) watch() {
+	if f.p.Leaving() {
+		f.listener.Close()
+	}
+	for c := range f.conns {
+		bytes, since := c.conn.Backlog()
+		switch {
+		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
+			c.conn.Close()
+			c.Closed(net.ErrBacklog)
+		case f.p.Leaving():
+			c.closeIfDone()
+		}
+	}
+	f.p.loop.At(f.p.loop.Now()+longestNap, f.watch)
+}
+
+// Idle says whether no client is connected any more.
+func (f *Front) Idle() bool { return len(f.conns) == 0 }
+
+// clientConn is one connection of a client.
+type clientConn struct {
+	front   *Front
+	conn    *net.Conn
+	decoder fastcgi.Decoder
+	open    map[uint16]int64 // the proxy's number of each open request
+	last    bool             // the client asked for no further request on it
+}
+
+// Receive takes whole records off what has come in.
+func (c *clientConn) Receive(data []byte) (used int, err error) {
+	for !c.conn.Ended() {
+		n, ev, err := c.decoder.Decode(data[used:])
+		if n == 0 || err != nil {
+			return used, err
+		}
+		used += n
+		switch ev := ev.(type) {
+		case *fastcgi.Request:
+			c.request(ev)
+		case fastcgi.Abort:
+			c.abort(ev.ID)
+		case fastcgi.Reply:
+			c.conn.Write(ev.Data)
+			c.last = c.last || ev.Close
+			c.closeIfLast()
+		}
+	}
+	return len(data), nil
+}
+
+// Closed gives up what was open on the connection.
+func (c *clientConn) Closed(error) {
+	delete(c.front.conns, c)
+	for _, number := range c.open {
+		c.front.p.Abandon(number)
+	}
+	c.open = nil
+}
+
+func (c *clientConn) request(r *fastcgi.Request) {
+	c.last = c.last || !r.KeepConn
+	to := &responder{conn: c, id: r.ID}
+	if r.Script == healthPath {
+		status := 503
+		if c.front.p.Phase() == Serving {
+			status = 200
+		}
+		to.write(fastcgi.Response{Status: status})
+		return
+	}
+	in, err := c.front.parse(r)
+	if err != nil {
+		to.write(fastcgi.Response{Status: 400, Body: []byte(err.Error() + "\n")})
+		return
+	}
+	c.open[r.ID] = 0 // Submit may answer at once, which takes it out again
+	if number := c.front.p.Submit(in, to); number != 0 {
+		c.open[r.ID] = number
+	}
+}
+
+// abort ends a request that its client gave up. FastCGI wants END_REQUEST for it, as the number is in use
+// until then; there is no other answer.
+func (c *clientConn) abort(id uint16) {
+	c.front.p.Abandon(c.open[id])
+	c.done(id, fastcgi.AppendEnd(nil, id, 1, fastcgi.Complete))
+}
+
+// done writes the last bytes of a request and frees its number.
+func (c *clientConn) done(id uint16, data []byte) {
+	delete(c.open, id)
+	c.decoder.Done(id)
+	c.conn.Write(data)
+	c.closeIfLast()
+}
+
+func (c *clientConn) closeIfLast() {
+	if c.last {
+		c.closeIfDone()
+	}
+}
+
+// closeIfDone closes a connection that has no open request.
+func (c *clientConn) closeIfDone() {
+	if len(c.open) == 0 && !c.decoder.Busy() {
+		c.conn.CloseFlushed()
+	}
+}
+
+// parse decodes the fields of a request.
+func (f *Front) parse(r *fastcgi.Request) (Request, error) {
+	name, ok := strings.CutPrefix(r.Script, opsPath)
+	class, known := f.classes[name]
+	if !ok || !known {
+		return Request{}, fmt.Errorf("no such operation: %q", r.Script)
+	}
+	in := Request{
+		ID: r.Params["HTTP_REQ_ID"], Class: class, Name: name, Object: r.Params["HTTP_REQ_KEY"], Body: r.Body,
+	}
+	if !isHex(in.ID) || !isHex(in.Object) {
+		return Request{}, errors.New("Req-Id and Req-Key must be 16 hex digits")
+	}
+	wait, err1 := number(r.Params["HTTP_REQ_WAIT_MS"], 1, 600_000)
+	part, err2 := number(r.Params["HTTP_X_PIECE"], 0, 1<<31)
+	group, err3 := number(r.Params["HTTP_X_LOT"], 0, 255)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return Request{}, fmt.Errorf("Req-Wait-Ms, X-Piece or X-Lot: %w", err)
+	}
+	in.Wait, in.Part, in.Group = time.Duration(wait)*time.Millisecond, part, group
+	if tag := r.Params["HTTP_X_VER"]; isHex(tag) {
+		in.Version = tag // any other could not be passed on; the whole object is always right
+	}
+	return in, nil
+}
+
+// isHex reports 16 hex digits: what may pass on into the fields of a call.
+func isHex(s string) bool {
+	return len(s) == 16 && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
+// number reads a canonical decimal, so that passing it on as a number leaves it unchanged.
+func number(s string, least, most int) (int, error) {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return 0, err
+	}
+	if n < least || n > most || strconv.Itoa(n) != s {
+		return 0, fmt.Errorf("%q is out of range", s)
+	}
+	return n, nil
+}
+
+// responder takes one answer to its client.
+type responder struct {
+	conn *clientConn
+	id   uint16
+}
+
+// Respond encodes the answer.
+func (r *responder) Respond(a Answer) {
+	switch a.Status {
+	case Served:
+		r.write(fastcgi.Response{Status: 200, Headers: tagHeader(a.Tag), Body: a.Body})
+	case Unchanged:
+		r.write(fastcgi.Response{Status: 200, Headers: append(tagHeader(a.Tag), [2]string{"X-Unchanged", "1"})})
+	case Refused:
+		var headers [][2]string
+		if ms := a.ComeBack.Milliseconds(); ms > 0 {
+			headers = [][2]string{{"Srv-Wait-Ms", strconv.FormatInt(ms, 10)}}
+		}
+		r.write(fastcgi.Response{Status: 503, Headers: headers})
+	case Overloaded:
+		r.conn.done(r.id, fastcgi.AppendEnd(nil, r.id, 0, fastcgi.Overloaded))
+	default:
+		r.write(fastcgi.Response{Status: 502})
+	}
+}
+
+func (r *responder) write(resp fastcgi.Response) {
+	if r.conn.conn.Ended() {
+		return
+	}
+	r.conn.done(r.id, fastcgi.AppendResponse(make([]byte, 0, len(resp.Body)+256), r.id, resp))
+}
+
+func tagHeader(tag string) [][2]string {
+	if !isHex(tag) {
+		return nil
+	}
+	return [][2]string{{"X-Ver", tag}}
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,284 @@
+package proxy
+
+import (
+	"fmt"
+	"log"
+	"os"
+	"time"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
+	"cloverdoor/internal/resp"
+	"cloverdoor/internal/settings"
+	"cloverdoor/policy"
+)
+
+// Phase is where the program stands between its start and its exit.
+type Phase int
+
+// The phases. Each one is followed by the next, and none comes back.
+const (
+	Starting Phase = iota // no list yet: nothing can be served
+	Serving
+	Draining // asked to stop: still takes what comes, and answers everything
+	Stopped
+)
+
+func (p Phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
+
+const (
+	// answerTime is what is kept of a request's time to write its answer and get it to the client.
+	answerTime = 60 * time.Millisecond
+	// drainTime is how long after the order to stop clients may still come: connections for 0.4 s, requests on
+	// them for 0.2 s more.
+	drainTime   = 700 * time.Millisecond
+	longestNap  = 50 * time.Millisecond // between looks at the order to stop
+	sweepEvery  = time.Second
+	defaultIdle = 10 * time.Second
+)
+
+// Config is what a proxy is told at its start.
+type Config struct {
+	Settings settings.Settings
+	Seed     uint64
+	Known    feed.Known
+	Sockets  int // descriptors that the process may hold
+	Memory   int // bytes that the process may use
+}
+
+// Proxy is one edge proxy. Everything in it runs on the loop's goroutine.
+type Proxy struct {
+	loop   *net.Loop
+	router *policy.Router
+	set    settings.Settings
+	log    *log.Logger
+	phase  Phase
+
+	inbox    []policy.Event // of this turn, for the module
+	requests map[int64]*request
+	lastID   int64
+	mostOpen int
+	mostHeld int // bytes in buffers and queues at which requests are refused
+
+	servers map[string]int64 // by id: when it started
+	pools   *net.Pools
+	fronts  []*Front
+	stopBy  net.Clock // while draining: when clients have stopped coming
+}
+
+// request is one client request until its answer is given and its last attempt has ended.
+type request struct {
+	Request
+	number   int64 // the module's
+	to       Responder
+	deadline net.Clock // by which the answer must have been written
+	timer    *net.Timer
+	attempts []*attempt
+	pending  int
+	finished bool // answered, or the client has left
+}
+
+// New returns a proxy that knows what the configuration knows.
+func New(loop *net.Loop, cfg Config, logger *log.Logger) *Proxy {
+	p := &Proxy{
+		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), set: cfg.Settings, log: logger,
+		requests: map[int64]*request{}, servers: map[string]int64{},
+		mostOpen: 4096, mostHeld: cfg.Memory / 4,
+	}
+	if cfg.Settings.MaxOpen > 0 {
+		p.mostOpen = min(p.mostOpen, cfg.Settings.MaxOpen)
+	}
+	idle := defaultIdle
+	if cfg.Settings.ConnIdle > 0 {
+		idle = cfg.Settings.ConnIdle * 2 / 3
+	}
+	streams := cfg.Settings.StreamsPerConn
+	if streams <= 0 {
+		streams = 1
+	}
+	connect := cfg.Settings.ConnectTimeout
+	if connect <= 0 {
+		connect = time.Second
+	}
+	p.pools = net.NewPools(loop, net.Limits{
+		Streams: streams, Sockets: UpstreamSockets(cfg.Sockets), ConnectTimeout: connect, Idle: idle,
+	}, p.openUpstream)
+	for _, ev := range cfg.Known.Updates {
+		p.told(ev)
+	}
+	p.settle()
+	p.sweep()
+	return p
+}
+
+// ClientSockets is the part of the descriptors that clients may hold: they keep to a third.
+func ClientSockets(all int) int { return all * 2 / 5 }
+
+// UpstreamSockets is the part for caches; the rest is for the program's own files.
+func UpstreamSockets(all int) int { return max(1, all/2-16) }
+
+// Phase tells where the program stands.
+func (p *Proxy) Phase() Phase { return p.phase }
+
+// Run serves until it has been stopped. stop is looked at between turns.
+func (p *Proxy) Run(stop <-chan os.Signal) error {
+	for p.phase != Stopped {
+		if err := p.loop.Wait(longestNap); err != nil {
+			return fmt.Errorf("event loop: %w", err)
+		}
+		p.settle()
+		p.advance(stop)
+	}
+	return nil
+}
+
+// advance moves to the phase that is due. Draining ends when clients have stopped coming and all they asked
+// for has been answered.
+func (p *Proxy) advance(stop <-chan os.Signal) {
+	select {
+	case <-stop:
+		if p.phase < Draining {
+			p.log.Printf("draining: %d requests open", len(p.requests))
+			p.phase, p.stopBy = Draining, p.loop.Now()+drainTime
+		}
+	default:
+	}
+	if p.phase == Draining && p.loop.Now() >= p.stopBy && !p.owes() {
+		p.phase = Stopped
+	}
+}
+
+// Leaving says that clients should go: no more of them are due.
+func (p *Proxy) Leaving() bool { return p.phase == Draining && p.loop.Now() >= p.stopBy }
+
+// owes says whether any client still waits for an answer, or for the rest of one.
+func (p *Proxy) owes() bool {
+	for _, f := range p.fronts {
+		if !f.Idle() {
+			return true
+		}
+	}
+	for _, q := range p.requests {
+		if !q.finished {
+			return true
+		}
+	}
+	return false
+}
+
+// settle hands what has gathered to the module, carries out its actions and writes, until nothing is left.
+func (p *Proxy) settle() {
+	for {
+		p.consult()
+		p.loop.Flush()
+		if len(p.inbox) == 0 {
+			return
+		}
+	}
+}
+
+func (p *Proxy) consult() {
+	for len(p.inbox) > 0 {
+		events := p.inbox
+		p.inbox = nil
+		var actions []policy.Action
+		for _, ev := range events {
+			actions = append(actions, p.router.Handle(p.loop.Now(), ev)...)
+		}
+		for _, a := range actions {
+			p.carryOut(a)
+		}
+	}
+}
+
+func (p *Proxy) tell(ev policy.Event) { p.inbox = append(p.inbox, ev) }
+
+func (p *Proxy) carryOut(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Fetch:
+		if q := p.requests[a.ID]; q != nil {
+			p.attempt(q, a)
+		}
+	case policy.Refuse:
+		p.answer(p.requests[a.ID], Answer{Status: Refused, ComeBack: a.ComeBack})
+	case policy.Fail:
+		p.answer(p.requests[a.ID], Answer{Status: Failed})
+	case policy.Cancel:
+		if q := p.requests[a.ID]; q != nil && a.Attempt < len(q.attempts) {
+			p.end(q.attempts[a.Attempt], resp.Answer{}, policy.ResultCancelled)
+		}
+	case policy.StartTimer:
+		token := a.Token
+		p.loop.At(p.loop.Now()+a.In, func() { p.tell(policy.TimerFired{Token: token}) })
+	}
+}
+
+// Submit takes a request whose last byte has just come. It returns the request's number, for Abandon, or 0
+// when it was answered at once.
+func (p *Proxy) Submit(in Request, to Responder) int64 {
+	// At these bounds a refusal is all that memory allows; it is harmless, and clients come again.
+	if len(p.requests) >= p.mostOpen || p.loop.Held() >= p.mostHeld {
+		to.Respond(Answer{Status: Overloaded})
+		return 0
+	}
+	p.lastID++
+	now := p.loop.Now()
+	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2)}
+	p.requests[q.number] = q
+	q.timer = p.loop.At(q.deadline, func() { p.expire(q) })
+	p.tell(policy.Request{ID: q.number, Object: in.Object, Part: in.Part, Group: in.Group, Class: in.Class,
+		Left: q.deadline - now})
+	return q.number
+}
+
+// Abandon takes note that the client has given a request up; it gets no answer.
+func (p *Proxy) Abandon(number int64) {
+	if q := p.requests[number]; q != nil && !q.finished {
+		p.finish(q)
+		p.tell(policy.ClientGone{ID: number})
+	}
+}
+
+// expire ends what is still out when a request's time is over; the module then gives the final answer. One that
+// it holds without an attempt is failed here: every request gets its answer in time.
+func (p *Proxy) expire(q *request) {
+	if q.finished {
+		return
+	}
+	if q.pending == 0 {
+		p.answer(q, Answer{Status: Failed})
+		p.tell(policy.ClientGone{ID: q.number})
+		return
+	}
+	for _, a := range q.attempts {
+		p.end(a, resp.Answer{}, policy.ResultTimeout)
+	}
+	q.timer = p.loop.At(p.loop.Now()+answerTime/4, func() { p.expire(q) })
+}
+
+// answer gives the final answer, once.
+func (p *Proxy) answer(q *request, a Answer) {
+	if q == nil || q.finished {
+		return
+	}
+	p.finish(q)
+	q.to.Respond(a)
+}
+
+func (p *Proxy) finish(q *request) {
+	q.finished = true
+	q.Body = nil
+	p.loop.Stop(q.timer)
+	p.forget(q)
+}
+
+func (p *Proxy) forget(q *request) {
+	if q.finished && q.pending == 0 {
+		delete(p.requests, q.number)
+	}
+}
+
+func (p *Proxy) sweep() {
+	p.pools.CloseIdle()
+	p.loop.At(p.loop.Now()+sweepEvery, p.sweep)
+}
--- /dev/null
+++ b/internal/proxy/upstream.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"errors"
+	"slices"
+
+	"cloverdoor/internal/net"
+	"cloverdoor/internal/resp"
+	"cloverdoor/policy"
+)
+
+// upstream is one connection to a cache, a parent or the origin, with the calls that are open on it.
+type upstream struct {
+	p     *Proxy
+	slot  *net.Slot
+	calls map[string]*attempt // by the request's id, which answers come under
+}
+
+// openUpstream makes the owner of a new connection.
+func (p *Proxy) openUpstream(s *net.Slot) net.Handler {
+	return &upstream{p: p, slot: s, calls: map[string]*attempt{}}
+}
+
+// takes says whether a call for q can go here. Answers come under the request's id alone: an answer to an
+// earlier call for it, given up meanwhile, would be taken for the new one's.
+func (u *upstream) takes(q *request) bool {
+	return u.calls[q.ID] == nil && !slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.on == u })
+}
+
+// Receive takes whole answers off what has come in.
+func (u *upstream) Receive(data []byte) (used int, err error) {
+	for {
+		n, ans, err := resp.Decode(data[used:])
+		if n == 0 || err != nil {
+			return used, err
+		}
+		used += n
+		if a := u.calls[ans.ID]; a != nil { // else it was given up, and the answer crossed the STOP
+			if err := u.p.answered(a, ans); err != nil {
+				return used, err
+			}
+		}
+	}
+}
+
+// Closed ends all calls that were open here. What was not written never ran; the rest may have.
+func (u *upstream) Closed(err error) {
+	u.slot.Drop()
+	result := policy.ResultReset
+	switch {
+	case errors.Is(err, net.ErrConnect):
+		result = policy.ResultConnectFailed
+	case errors.Is(err, resp.ErrMalformed):
+		u.p.log.Printf("connection to a cache dropped: %v", err)
+	}
+	calls := make([]*attempt, 0, len(u.calls))
+	for _, a := range u.calls {
+		calls = append(calls, a)
+	}
+	slices.SortFunc(calls, func(a, b *attempt) int { return int(a.req.number - b.req.number) })
+	for _, a := range calls {
+		u.p.end(a, resp.Answer{}, result)
+	}
+}
+
+// leave takes an ended attempt off the connection. One that was sent and not answered is stopped.
+func (u *upstream) leave(a *attempt, unanswered bool) {
+	delete(u.calls, a.req.ID)
+	if a.started && unanswered && !u.slot.Ended() {
+		if u.slot.Heard() < a.sentAt {
+			// Nothing at all has come since: the connection may be dead, and new calls would wait on it.
+			u.slot.Stale = true
+		}
+		u.slot.Write(resp.AppendStop(nil, a.req.ID))
+	}
+	u.slot.Release()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,136 @@
+// Package settings decodes the operators' settings object, the same JSON for the simulator's adapter and for
+// the real proxy, into what package policy and the sockets need to be told.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cloverdoor/policy"
+)
+
+// Settings is the decoded object: the module's part, and what only real sockets need.
+type Settings struct {
+	Policy policy.Settings
+
+	Zones []string // names, by the index that the module uses
+	Kinds []string
+
+	ConnIdle       time.Duration // a cache closes a connection left idle for this long
+	ConnectTimeout time.Duration
+	MaxOpen        int // requests that may be open at once; 0: not told
+	StreamsPerConn int // attempts that one connection carries together; 0: not told
+}
+
+// conf mirrors the JSON object; unknown keys are ignored.
+type conf struct {
+	Areas   []string `json:"areas"`
+	Classes []struct {
+		AimStretch float64 `json:"aim-stretch"`
+		Gain       float64 `json:"gain"`
+		KeyScope   string  `json:"key-scope"`
+		Name       string  `json:"name"`
+		Promise    int64   `json:"promise-us"`
+		Semantics  string  `json:"semantics"`
+		Stream     bool    `json:"stream"`
+		Window     int64   `json:"window-us"`
+	} `json:"classes"`
+	Domain struct {
+		AttachedTo        []int     `json:"attached-to"`
+		CanJoin           bool      `json:"can-join"`
+		Fresh             []int64   `json:"class-fresh-us"`
+		ClearedWithin     int64     `json:"cleared-within-us"`
+		CountByZone       []int     `json:"count-by-zone"`
+		Direct            bool      `json:"direct"`
+		Grace             []int64   `json:"grace-for-us"`
+		FlowKBps          float64   `json:"one-flow-kb-per-s"`
+		ParentFloor       float64   `json:"parent-floor"`
+		ParentLimitFactor float64   `json:"parent-limit-factor"`
+		PassOn            []bool    `json:"pass-on"`
+		PeersFill         string    `json:"peers-fill"`
+		PipeKBps          []float64 `json:"pipe-kb-per-s"`
+		PurgeSlack        int64     `json:"purge-slack-us"`
+		RootKind          int       `json:"root-kind"`
+		UpperCold         int64     `json:"upper-cold-us"`
+		UpperKind         *int      `json:"upper-kind"`
+	} `json:"domain"`
+	GroupSize int      `json:"group-size"`
+	HostTypes []string `json:"host-types"`
+	Limits    struct {
+		ConnIdle       int64 `json:"conn-idle-us"`
+		ConnectTimeout int64 `json:"connect-timeout-us"`
+		MaxOpen        int   `json:"max-open"`
+		StreamsPerConn int   `json:"streams-per-conn"`
+		MaxAttempts    int   `json:"max-attempts"`
+		MaxRetryAfter  int64 `json:"max-retry-after-us"`
+		MayCancel      bool  `json:"may-cancel"`
+		SecondCopies   bool  `json:"second-copies"`
+	} `json:"limits"`
+	Rules struct {
+		FallMultiple  float64 `json:"fall-multiple"`
+		Fall          int64   `json:"fall-us"`
+		StartCapacity float64 `json:"start-capacity"`
+		WarmWithin    int64   `json:"warm-within-us"`
+	} `json:"rules"`
+	WeightSource string `json:"weight-source"`
+	Zone         int    `json:"zone"`
+}
+
+func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func at[T any](list []T, i int) (value T) {
+	if i < len(list) {
+		value = list[i]
+	}
+	return value
+}
+
+var effects = map[string]policy.Effect{
+	"read_like": policy.Safe, "idempotency_key": policy.Keyed, "non_idempotent": policy.Unsafe,
+}
+
+var scopes = map[string]policy.Scope{"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
+
+var siblings = map[string]policy.Siblings{"location": policy.SiblingsZone, "any": policy.SiblingsAny}
+
+// Decode reads the settings object. Absent keys keep their zero value, which the module takes as 'not told'.
+func Decode(raw json.RawMessage) (Settings, error) {
+	var c conf
+	if len(raw) > 0 {
+		if err := json.Unmarshal(raw, &c); err != nil {
+			return Settings{}, fmt.Errorf("settings: %w", err)
+		}
+	}
+	d := c.Domain
+	s := policy.Settings{
+		Zone: c.Zone, ParentKind: -1, OriginKind: d.RootKind, Instances: c.GroupSize,
+		ZoneRouters: d.CountByZone, ZoneHubs: d.AttachedTo, WeightsTold: c.WeightSource == "nominal" || c.WeightSource == "rough",
+		FlowKBps: d.FlowKBps, LinkKBps: d.PipeKBps, Direct: d.Direct, CanJoin: d.CanJoin,
+		Siblings:    siblings[d.PeersFill],
+		MaxAttempts: c.Limits.MaxAttempts, MayCancel: c.Limits.MayCancel, SecondCopies: c.Limits.SecondCopies,
+		MaxComeBack: us(c.Limits.MaxRetryAfter),
+		ColdShare:   c.Rules.StartCapacity,
+		WarmWithin:  us(c.Rules.WarmWithin), FallMultiple: c.Rules.FallMultiple, FallWindow: us(c.Rules.Fall),
+		ParentColdShare: d.ParentFloor, ParentWarmWithin: us(d.UpperCold),
+		ParentFallMultiple: d.ParentLimitFactor,
+		PurgeGrace:         us(d.PurgeSlack), ClearedWithin: us(d.ClearedWithin),
+	}
+	if d.UpperKind != nil {
+		s.ParentKind = *d.UpperKind
+	}
+	for i, k := range c.Classes {
+		s.Classes = append(s.Classes, policy.Class{
+			Name: k.Name, Effect: effects[k.Semantics], Scope: scopes[k.KeyScope], Window: us(k.Window),
+			Aim: us(k.Promise), AimStretch: k.AimStretch,
+			Worth: k.Gain,
+			Fresh: us(at(d.Fresh, i)), Grace: us(at(d.Grace, i)),
+			PassOn: at(d.PassOn, i), Stream: k.Stream,
+		})
+	}
+	return Settings{
+		Policy: s, Zones: c.Areas, Kinds: c.HostTypes,
+		ConnIdle: us(c.Limits.ConnIdle), ConnectTimeout: us(c.Limits.ConnectTimeout),
+		MaxOpen: c.Limits.MaxOpen, StreamsPerConn: c.Limits.StreamsPerConn,
+	}, nil
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 
+	"cloverdoor/internal/settings"
 	"cloverdoor/policy"
 )
 
@@ -84,11 +85,11 @@
 		h.pages[e.Ref] = members(e.Hosts)
 		return nil, nil
 	case "Born":
-		s, err := settings(e.Conf)
+		s, err := settings.Decode(e.Conf)
 		if err != nil {
 			return nil, fmt.Errorf("bad settings: %w", err)
 		}
-		h.routers[e.Proxy] = policy.New(s, e.Seed)
+		h.routers[e.Proxy] = policy.New(s.Policy, e.Seed)
 		return nil, nil
 	case "PowerOff":
 		delete(h.routers, e.Proxy)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -194,6 +194,22 @@
 	return r.out
 }
 
+// Recheck is asked when the first byte of an attempt is about to be written, which may be long after it was
+// decided. It returns the attempt's orders as they are now, or false when it must not go any more. The danger:
+// an attempt that waits for its connection goes to a drained member, or takes a copy purged meanwhile.
+func (r *Router) Recheck(now time.Duration, id int64, number int) (Fetch, bool) {
+	r.now = now
+	q := r.open[id]
+	if q == nil || q.finished || number >= len(q.attempts) || !q.attempts[number].pending {
+		return Fetch{}, false
+	}
+	a := q.attempts[number]
+	if a.target.State != Ready || a.source.State != Ready {
+		return Fetch{}, false
+	}
+	return r.fetch(q, a), true
+}
+
 // ---- observe
 
 func (r *Router) observeList(list MemberList) {
