--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,7 +196,7 @@
 
 // Recheck is asked when the first byte of an attempt is about to be written, which may be long after it was
 // decided. It returns the attempt's orders as they are now, or false when it must not go any more. The
-// danger: an attempt that waits for its connection goes to a drained member, or takes a copy purged meanwhile.
+// danger: an attempt that waits for its connection goes to a drained member, or takes a copy purged since.
 func (r *Router) Recheck(now time.Duration, id int64, number int) (Fetch, bool) {
 	r.now = now
 	q := r.open[id]
