--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -30,9 +30,9 @@
 
 // Limits of one connection.
 const (
-	maxOpen   = 64        // requests being received or answered; the protocol page says clients keep to 32
-	maxParams = 16 << 10  // bytes of one request's parameters
-	maxBody   = 256 << 10 // bytes of one request's body; an object holds 240,000 at most
+	maxOpen   = 40       // requests being received or answered; the protocol page says clients keep to 32
+	maxParams = 16 << 10 // bytes of one request's parameters
+	maxBody   = 64 << 10 // bytes of one request's body; one write brings 48,000 at most
 )
 
 // ProtocolStatus is the protocol's own verdict in END_REQUEST.
@@ -79,18 +79,21 @@
 	req        Request
 	params     []byte
 	paramsDone bool
-	role       uint16
 }
 
 // Decoder reads one connection's records. The zero value is ready.
 type Decoder struct {
 	open     map[uint16]*partial // being received
 	answered map[uint16]bool     // received whole, still to be answered
+	held     int
 }
 
 // Done tells the decoder that the request has been answered or abandoned, so its number may be used again.
 func (d *Decoder) Done(id uint16) { delete(d.answered, id) }
 
+// Held is how many bytes of requests that have not come whole the decoder keeps.
+func (d *Decoder) Held() int { return d.held }
+
 // Busy says whether a request is being received or waits for its answer.
 func (d *Decoder) Busy() bool { return len(d.open)+len(d.answered) > 0 }
 
@@ -163,6 +166,7 @@
 func (d *Decoder) abort(id uint16) (Event, error) {
 	if p := d.open[id]; p != nil {
 		delete(d.open, id)
+		d.held -= len(p.params) + len(p.req.Body)
 		return Reply{Data: AppendEnd(nil, id, 1, Complete), Close: !p.req.KeepConn}, nil
 	}
 	if d.answered[id] {
@@ -177,6 +181,7 @@
 			return nil, ErrTooBig
 		}
 		p.params = append(p.params, content...)
+		d.held += len(content)
 		return nil, nil
 	}
 	params, err := decodePairs(p.params)
@@ -184,6 +189,7 @@
 		return nil, err
 	}
 	p.req.Params, p.req.Script = params, params["SCRIPT_NAME"]
+	d.held -= len(p.params)
 	p.params, p.paramsDone = nil, true
 	return nil, nil
 }
@@ -194,6 +200,7 @@
 			return nil, ErrTooBig
 		}
 		p.req.Body = append(p.req.Body, content...)
+		d.held += len(content)
 		return nil, nil
 	}
 	if !p.paramsDone {
@@ -201,6 +208,7 @@
 	}
 	delete(d.open, p.req.ID)
 	d.answered[p.req.ID] = true
+	d.held -= len(p.req.Body)
 	return &p.req, nil
 }
 
--- /dev/null
+++ b/internal/fastcgi/fastcgi_test.go
@@ -0,0 +1,184 @@
+package fastcgi
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func begin(id uint16, role, flags byte) []byte {
+	return append(appendHeader(nil, typeBegin, id, 8), 0, role, flags, 0, 0, 0, 0, 0)
+}
+
+func record(kind byte, id uint16, content string) []byte {
+	return append(appendHeader(nil, kind, id, len(content)), content...)
+}
+
+func join(parts ...[]byte) []byte { return bytes.Join(parts, nil) }
+
+func params(pairs ...string) string {
+	var out []byte
+	for i := 0; i < len(pairs); i += 2 {
+		out = appendPair(out, pairs[i], pairs[i+1])
+	}
+	return string(out)
+}
+
+// whole is a request with a long value and a body in two records.
+func whole(id uint16) []byte {
+	return join(begin(id, roleResponder, flagKeepConn),
+		record(typeParams, id, params("SCRIPT_NAME", "/ops/artes", "LONG", strings.Repeat("x", 300))),
+		record(typeParams, id, ""), record(typeStdin, id, "ab"), record(typeStdin, id, "cd"), record(typeStdin, id, ""))
+}
+
+// decode feeds data in pieces of the given size and returns what it meant.
+func decode(t *testing.T, data []byte, piece int) (events []Event, err error) {
+	t.Helper()
+	var d Decoder
+	var held []byte
+	for len(data) > 0 || len(held) > 0 {
+		n := min(piece, len(data))
+		held, data = append(held, data[:n]...), data[n:]
+		for {
+			used, ev, err := d.Decode(held)
+			if err != nil {
+				return events, err
+			}
+			if used == 0 {
+				break
+			}
+			if held = held[used:]; ev != nil {
+				events = append(events, ev)
+			}
+		}
+		if n == 0 {
+			break
+		}
+	}
+	return events, nil
+}
+
+func TestRequestInAnyPieces(t *testing.T) {
+	for _, piece := range []int{1, 7, 1 << 20} {
+		events, err := decode(t, join(whole(1), whole(2)), piece)
+		if err != nil || len(events) != 2 {
+			t.Fatalf("pieces of %d: %v %v", piece, events, err)
+		}
+		r := events[1].(*Request)
+		if r.ID != 2 || !r.KeepConn || r.Script != "/ops/artes" || len(r.Params["LONG"]) != 300 || string(r.Body) != "abcd" {
+			t.Fatalf("pieces of %d: %+v", piece, r)
+		}
+	}
+}
+
+func TestWhatTheProtocolAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		in   []byte
+		want Event
+	}{
+		"abort of an open request":   {join(whole(3), record(typeAbort, 3, "")), Abort{ID: 3}},
+		"abort of a half-come one":   {join(begin(3, 1, 1), record(typeAbort, 3, "")), Reply{Data: AppendEnd(nil, 3, 1, Complete)}},
+		"another role":               {begin(3, 2, 1), Reply{Data: AppendEnd(nil, 3, 0, UnknownRole)}},
+		"another role, not kept":     {begin(3, 2, 0), Reply{Data: AppendEnd(nil, 3, 0, UnknownRole), Close: true}},
+		"unknown management record":  {record(77, 0, ""), Reply{Data: unknownType(77)}},
+		"values":                     {record(typeGetValues, 0, params("FCGI_MPXS_CONNS", "")), Reply{Data: record(typeGetResult, 0, params("FCGI_MPXS_CONNS", "1"))}},
+		"records of no open request": {join(record(typeStdin, 9, "x"), record(typeAbort, 9, "")), nil},
+	} {
+		events, err := decode(t, c.in, 5)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		var got Event
+		if len(events) > 0 {
+			got = events[len(events)-1]
+		}
+		g, isReply := got.(Reply)
+		w, wantReply := c.want.(Reply)
+		if isReply != wantReply || isReply && (!bytes.Equal(g.Data, w.Data) || g.Close != w.Close) || !isReply && got != c.want {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+func TestBadRecordsEndTheConnection(t *testing.T) {
+	var many []byte
+	for id := range uint16(maxOpen + 1) {
+		many = append(many, begin(id+1, 1, 1)...)
+	}
+	big := strings.Repeat("x", 60000)
+	for name, c := range map[string]struct {
+		in   []byte
+		want error
+	}{
+		"version":          {[]byte{2, 1, 0, 1, 0, 0, 0, 0}, ErrVersion},
+		"short begin":      {record(typeBegin, 1, "abc"), ErrRecord},
+		"begun twice":      {join(begin(1, 1, 1), begin(1, 1, 1)), ErrRecord},
+		"begun while open": {join(whole(1), begin(1, 1, 1)), ErrRecord},
+		"cut pair":         {join(begin(1, 1, 1), record(typeParams, 1, "\x05\x05ab"), record(typeParams, 1, "")), ErrRecord},
+		"body first":       {join(begin(1, 1, 1), record(typeStdin, 1, "")), ErrRecord},
+		"params too big":   {join(begin(1, 1, 1), record(typeParams, 1, big)), ErrTooBig},
+		"body too big":     {join(begin(1, 1, 1), record(typeParams, 1, ""), record(typeStdin, 1, big), record(typeStdin, 1, big)), ErrTooBig},
+		"too many":         {many, ErrTooMany},
+	} {
+		if _, err := decode(t, c.in, 1<<20); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+// A number may be used again once its request is done, and the bytes kept for it are given back.
+func TestNumbersAndBytesAreGivenBack(t *testing.T) {
+	var d Decoder
+	for range 3 {
+		for data := whole(1); len(data) > 0; {
+			used, _, err := d.Decode(data)
+			if err != nil || used == 0 {
+				t.Fatal(used, err)
+			}
+			data = data[used:]
+		}
+		if !d.Busy() || d.Held() != 0 {
+			t.Fatalf("busy %v, held %d", d.Busy(), d.Held())
+		}
+		d.Done(1)
+	}
+	if d.Busy() {
+		t.Fatal("still busy")
+	}
+}
+
+func TestLongBodyIsSplitIntoRecords(t *testing.T) {
+	body := bytes.Repeat([]byte("z"), 3*maxContent+5)
+	out := AppendResponse(nil, 4, Response{Status: 200, Headers: [][2]string{{"X-Unchanged", "1"}}, Body: body})
+	var text []byte
+	for len(out) > 0 {
+		n := int(out[4])<<8 | int(out[5])
+		if out[1] == typeStdout {
+			text = append(text, out[headerLen:headerLen+n]...)
+		}
+		out = out[headerLen+n:]
+	}
+	if want := "Status: 200\r\nX-Unchanged: 1\r\n\r\n" + string(body); string(text) != want {
+		t.Fatalf("%d bytes, want %d", len(text), len(want))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(whole(1))
+	f.Add(join(begin(1, 2, 0), record(typeGetValues, 0, params("FCGI_MAX_REQS", ""))))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d Decoder
+		for len(data) > 0 {
+			used, _, err := d.Decode(data)
+			if used < 0 || used > len(data) || d.Held() < 0 {
+				t.Fatalf("used %d of %d, held %d", used, len(data), d.Held())
+			}
+			if err != nil || used == 0 {
+				return
+			}
+			data = data[used:]
+		}
+	})
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,65 @@
+package feed
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestLines(t *testing.T) {
+	list, err := Decode([]byte(`{"index":41,"endpoints":{"version":7,"full":true,"servers":[{"id":"s-1","addr":"10.1.0.9:7001",` +
+		`"zone":"east","kind":"std","cell":2,"state":"SERVING","weight":4,"started_ms":5}]}}`))
+	if err != nil || list.Index != 41 || !list.Endpoints.Full || list.Endpoints.Servers[0] != (Server{"s-1", "10.1.0.9:7001", "east", "std", 2, Serving, 4, 5}) {
+		t.Errorf("%+v %v", list, err)
+	}
+	object, err := Decode([]byte(`{"index":42,"evict":{"ref":"7f3a","unix_ms":1764576000123}}`))
+	if err != nil || object.Evict.Object != "7f3a" || object.Evict.At != 1764576000123 || object.Tick() {
+		t.Errorf("%+v %v", object, err)
+	}
+	group, err := Decode([]byte(`{"index":43,"evict":{"shard":0,"unix_ms":1}}`))
+	if err != nil || *group.Evict.Group != 0 || group.Evict.Object != "" {
+		t.Errorf("%+v %v", group, err)
+	}
+	for _, tick := range []string{"43", "43\r", `{"index":43}`} {
+		if ev, err := Decode([]byte(tick)); err != nil || !ev.Tick() || ev.Index != 43 {
+			t.Errorf("%q: %+v %v", tick, ev, err)
+		}
+	}
+}
+
+func TestMalformedLines(t *testing.T) {
+	for _, line := range []string{
+		"", "hello", "-1", "{", "[]", "{}", `{"index":-3}`, `{"index":1,"evict":{}}`,
+		`{"index":1,"endpoints":{"servers":[{"id":"s"}]}}`, `{"index":1,"endpoints":{"servers":[{"state":"SERVING"}]}}`,
+	} {
+		if ev, err := Decode([]byte(line)); !errors.Is(err, ErrLine) {
+			t.Errorf("%q was taken: %+v %v", line, ev, err)
+		}
+	}
+}
+
+func TestNext(t *testing.T) {
+	used, line, err := Next([]byte("one\ntwo"))
+	if used != 4 || string(line) != "one" || err != nil {
+		t.Errorf("%d %q %v", used, line, err)
+	}
+	if used, _, err := Next([]byte("two")); used != 0 || err != nil {
+		t.Errorf("%d %v", used, err)
+	}
+	if _, _, err := Next([]byte(strings.Repeat("x", MaxLine+1))); !errors.Is(err, ErrLine) {
+		t.Errorf("an endless line: %v", err)
+	}
+	if got := string(Follow(7)); got != "follow 7\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"index":42,"evict":{"ref":"7f3a","unix_ms":1}}`))
+	f.Add([]byte("43"))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		if ev, err := Decode(line); err == nil && ev.Index < 0 {
+			t.Fatalf("%+v", ev)
+		}
+	})
+}
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -96,7 +96,9 @@
 // Closed follows the stream anew, after a pause.
 func (f *follower) Closed(err error) {
 	f.conn = nil
-	f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
+	if f.pause == refollowAfter { // one line for each outage
+		f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
+	}
 	f.p.loop.At(f.p.loop.Now()+f.pause, f.connect)
 	f.pause = min(2*f.pause, refollowAtMost)
 }
@@ -104,7 +106,9 @@
 // told passes one event of the coordinator on to the module and keeps the pools in step with it.
 func (p *Proxy) told(ev feed.Event) {
 	if v := ev.Evict; v != nil {
-		purge := policy.Purge{Object: v.Object, Age: max(0, p.loop.Now()-time.Duration(v.At)*time.Millisecond)}
+		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
+		moment := time.Duration(v.At+1) * time.Millisecond
+		purge := policy.Purge{Object: v.Object, Age: max(0, p.loop.Now()-moment)}
 		if v.Group != nil {
 			purge.Group = *v.Group
 		}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -19,6 +19,8 @@
 	stuckAfter = 10 * time.Second
 )
 
+var errFull = errors.New("memory for clients is used up")
+
 // Front speaks FastCGI with the clients. A front for a second protocol would stand beside it and hand the same
 // Requests to Submit.
 type Front struct {
@@ -82,11 +84,27 @@
 	conn    *net.Conn
 	decoder fastcgi.Decoder
 	open    map[uint16]int64 // the proxy's number of each open request
+	partial int              // bytes of requests that have not come whole
 	last    bool             // the client asked for no further request on it
 }
 
 // Receive takes whole records off what has come in.
 func (c *clientConn) Receive(data []byte) (used int, err error) {
+	used, err = c.records(data)
+	c.count(c.decoder.Held())
+	if err == nil && c.front.p.held() > 2*c.front.p.mostHeld {
+		err = errFull // unfinished requests can't be refused one by one
+	}
+	return used, err
+}
+
+// count keeps the proxy's sum of unfinished requests.
+func (c *clientConn) count(held int) {
+	c.front.p.partial += held - c.partial
+	c.partial = held
+}
+
+func (c *clientConn) records(data []byte) (used int, err error) {
 	for !c.conn.Ended() {
 		n, ev, err := c.decoder.Decode(data[used:])
 		if n == 0 || err != nil {
@@ -110,6 +128,7 @@
 // Closed gives up what was open on the connection.
 func (c *clientConn) Closed(error) {
 	delete(c.front.conns, c)
+	c.count(0)
 	for _, number := range c.open {
 		c.front.p.Abandon(number)
 	}
@@ -239,6 +258,13 @@
 	if r.conn.conn.Ended() {
 		return
 	}
+	// Clients that leave their answers unread must not use up the memory: the one with a backlog loses its
+	// connection, which tells it that the answer is not whole.
+	if n, _ := r.conn.conn.Backlog(); n > 0 && r.conn.front.p.held() > 2*r.conn.front.p.mostHeld {
+		r.conn.conn.Close()
+		r.conn.Closed(errFull)
+		return
+	}
 	r.conn.done(r.id, fastcgi.AppendResponse(make([]byte, 0, len(resp.Body)+256), r.id, resp))
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,7 +58,9 @@
 	requests map[int64]*request
 	lastID   int64
 	mostOpen int
-	mostHeld int // bytes in buffers and queues at which requests are refused
+	mostHeld int // bytes held at which requests are refused
+	bodies   int // bytes of the open requests' bodies
+	partial  int // bytes of requests that have not come whole
 
 	servers map[string]int64 // by id: when it started
 	pools   *net.Pools
@@ -217,7 +219,7 @@
 // when it was answered at once.
 func (p *Proxy) Submit(in Request, to Responder) int64 {
 	// At these bounds a refusal is all that memory allows; it is harmless, and clients come again.
-	if len(p.requests) >= p.mostOpen || p.loop.Held() >= p.mostHeld {
+	if len(p.requests) >= p.mostOpen || p.held() >= p.mostHeld {
 		to.Respond(Answer{Status: Overloaded})
 		return 0
 	}
@@ -225,12 +227,16 @@
 	now := p.loop.Now()
 	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2)}
 	p.requests[q.number] = q
+	p.bodies += len(q.Body)
 	q.timer = p.loop.At(q.deadline, func() { p.expire(q) })
 	p.tell(policy.Request{ID: q.number, Object: in.Object, Part: in.Part, Group: in.Group, Class: in.Class,
 		Left: q.deadline - now})
 	return q.number
 }
 
+// held is how many bytes are kept for clients and caches together.
+func (p *Proxy) held() int { return p.loop.Held() + p.bodies + p.partial }
+
 // Abandon takes note that the client has given a request up; it gets no answer.
 func (p *Proxy) Abandon(number int64) {
 	if q := p.requests[number]; q != nil && !q.finished {
@@ -242,18 +248,15 @@
 // expire ends what is still out when a request's time is over; the module then gives the final answer. One that
 // it holds without an attempt is failed here: every request gets its answer in time.
 func (p *Proxy) expire(q *request) {
-	if q.finished {
-		return
-	}
 	if q.pending == 0 {
 		p.answer(q, Answer{Status: Failed})
 		p.tell(policy.ClientGone{ID: q.number})
 		return
 	}
+	q.timer = p.loop.At(p.loop.Now()+answerTime/4, func() { p.expire(q) })
 	for _, a := range q.attempts {
 		p.end(a, resp.Answer{}, policy.ResultTimeout)
 	}
-	q.timer = p.loop.At(p.loop.Now()+answerTime/4, func() { p.expire(q) })
 }
 
 // answer gives the final answer, once.
@@ -267,13 +270,15 @@
 
 func (p *Proxy) finish(q *request) {
 	q.finished = true
-	q.Body = nil
-	p.loop.Stop(q.timer)
 	p.forget(q)
 }
 
+// forget drops a request that is over. One whose attempts are still out keeps its timer, which ends them: a
+// silent cache would else keep them for good.
 func (p *Proxy) forget(q *request) {
-	if q.finished && q.pending == 0 {
+	if q.finished && q.pending == 0 && p.requests[q.number] == q {
+		p.loop.Stop(q.timer)
+		p.bodies -= len(q.Body)
 		delete(p.requests, q.number)
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -3,12 +3,16 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"cloverdoor/internal/net"
 	"cloverdoor/internal/resp"
 	"cloverdoor/policy"
 )
 
+// quietAfter is how long a connection with calls out may bring nothing before new calls go elsewhere.
+const quietAfter = time.Second
+
 // upstream is one connection to a cache, a parent or the origin, with the calls that are open on it.
 type upstream struct {
 	p     *Proxy
@@ -24,7 +28,19 @@
 // takes says whether a call for q can go here. Answers come under the request's id alone: an answer to an
 // earlier call for it, given up meanwhile, would be taken for the new one's.
 func (u *upstream) takes(q *request) bool {
-	return u.calls[q.ID] == nil && !slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.on == u })
+	return !u.quiet() && u.calls[q.ID] == nil && !slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.on == u })
+}
+
+// quiet says that a call has been out for long and nothing at all has come since. The machine may be cut off:
+// calls put on this connection would wait for good, and one that must not run twice could not be sent again. A
+// new connection finds out.
+func (u *upstream) quiet() bool {
+	for _, a := range u.calls {
+		if a.started && u.slot.Heard() < a.sentAt && u.p.loop.Now()-a.sentAt > quietAfter {
+			return true
+		}
+	}
+	return false
 }
 
 // Receive takes whole answers off what has come in.
