Test the real program as a process, and give a client's abort no blame on the connection

Seen: the new process test of ABORT_REQUEST waited in vain for STOP. upstream.leave closed the connection in place of writing it whenever nothing had come since the call, so a client that aborts after 5 ms cost every other call's connection its reuse (upstream.go leave). Ruled out by the test's first half: the abort itself reached the module, and its Cancel the attempt. Now a connection is quiet only when a byte has been due for a second, counted from the first unanswered call; a flag-free time stands for it.

--- /dev/null
+++ b/cmd/cloverdoor/main_test.go
@@ -0,0 +1,361 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const longWait = 60_000
+
+func TestReadIsServedThroughTheCache(t *testing.T) {
+	w, big := newWorld(t), strings.Repeat("0123456789", 24_000)
+	c := w.dial()
+	c.ask(7, "artes", longWait, 0xabc, "", "HTTP_REQ_ID", "9b1f03aa5c7e2d41", "HTTP_X_VER", "4be0c1927d55a6f3")
+	got := receive(t, w.cache.calls, "call")
+	for name, want := range map[string]string{"c": "artes", "k": "0000000000000abc", "p": "3", "src": "o1", "have": "4be0c1927d55a6f3"} {
+		if got.fields[name] != want {
+			t.Errorf("field %s is %q, want %q", name, got.fields[name], want)
+		}
+	}
+	if n, err := strconv.Atoi(got.fields["w"]); err != nil || n <= 0 || n > longWait || got.words[1] != "9b1f03aa5c7e2d41" {
+		t.Errorf("%q", got.words)
+	}
+	got.answer("served", "etag=4be0c1927d55a6f4,made=1,note=TCP_MISS,ttfb=3", big)
+	if a := receive(t, c.answers, "answer"); a.id != 7 || a.status != "200" || a.body != big {
+		t.Errorf("%d %s %d bytes", a.id, a.status, len(a.body))
+	}
+
+	c.ask(7, "artes", longWait, 0xabc, "", "HTTP_X_VER", "4be0c1927d55a6f4")
+	receive(t, w.cache.calls, "call").answer("still_good", "etag=4be0c1927d55a6f4,made=1,note=TCP_HIT", "")
+	if a := receive(t, c.answers, "answer"); a.status != "200" || a.body != "" || !strings.Contains(a.headers, "X-Unchanged: 1") {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestAnswersComeInAnyOrder(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	first := receive(t, w.cache.calls, "call")
+	c.ask(2, "artes", longWait, 2, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "two")
+	if a := receive(t, c.answers, "answer"); a.id != 2 || a.body != "two" {
+		t.Errorf("%+v", a)
+	}
+	first.answer("served", "-", "one")
+	if a := receive(t, c.answers, "answer"); a.id != 1 || a.body != "one" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A write that may have run is failed, never sent again; one that surely did not run is refused.
+func TestWriteNeverRunsTwice(t *testing.T) {
+	w := newWorld(t)
+	c, write := w.dial(), strings.Repeat("w", 48_000)
+	c.ask(1, "registro", longWait, 1, write)
+	got := receive(t, w.origin.calls, "call")
+	if got.words[3] != write {
+		t.Errorf("body of %d bytes", len(got.words[3]))
+	}
+	got.conn.Close()
+	if a := receive(t, c.answers, "answer"); a.status != "502" {
+		t.Errorf("after a reset: %+v", a)
+	}
+	w.origin.Close() // connections are refused from now on
+	c.ask(2, "registro", longWait, 1, write)
+	if a := receive(t, c.answers, "answer"); a.status != "503" || !strings.Contains(a.headers, "Srv-Wait-Ms: ") {
+		t.Errorf("after a refused connect: %+v", a)
+	}
+	if len(w.origin.calls) != 0 {
+		t.Error("it was sent again")
+	}
+}
+
+// A silent cache costs the request its time, not its answer; the call is given up.
+func TestAnswerBeforeTheDeadline(t *testing.T) {
+	w := newWorld(t)
+	c, start := w.dial(), time.Now()
+	c.ask(1, "registro", 1000, 1, "x")
+	receive(t, w.origin.calls, "call")
+	receive(t, w.origin.stops, "STOP")
+	if a := receive(t, c.answers, "answer"); a.status != "502" || time.Since(start) < 500*time.Millisecond {
+		t.Errorf("%+v after %v", a, time.Since(start))
+	}
+}
+
+func TestAbortStopsTheCall(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	got := receive(t, w.cache.calls, "call")
+	c.record(2, 1, "")
+	if stop := receive(t, w.cache.stops, "STOP"); stop.words[1] != got.words[1] {
+		t.Errorf("%q", stop.words)
+	}
+	if a := receive(t, c.answers, "END_REQUEST"); a.id != 1 || a.status != "" {
+		t.Errorf("%+v", a)
+	}
+	got.answer("served", "-", "too late")
+	c.ask(1, "artes", longWait, 2, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "new")
+	if a := receive(t, c.answers, "answer"); a.body != "new" {
+		t.Errorf("%+v", a)
+	}
+	c.ask(2, "artes", longWait, 3, "")
+	receive(t, w.cache.calls, "call")
+	c.Close() // leaves everything
+	receive(t, w.cache.stops, "STOP")
+}
+
+// An answer that is none fails its attempt and drops the connection; the request moves on.
+func TestMalformedAnswerDropsTheConnection(t *testing.T) {
+	for _, bad := range []string{"hello\r\n", "*4\r\n$99999999\r\n", "still_good"} {
+		t.Run(bad, func(t *testing.T) {
+			w := newWorld(t)
+			c := w.dial()
+			c.ask(1, "artes", longWait, 1, "")
+			got := receive(t, w.cache.calls, "call")
+			if bad == "still_good" { // there is no copy that could be good
+				got.answer(bad, "-", "")
+			} else {
+				fmt.Fprint(got.conn, bad)
+			}
+			w.origin.serve("served", "-", "again")
+			w.cache.serve("served", "-", "again")
+			if a := receive(t, c.answers, "answer"); a.body != "again" {
+				t.Errorf("%+v", a)
+			}
+		})
+	}
+}
+
+// A connection on which calls are out and nothing comes may be dead: new calls go to a new one.
+func TestQuietConnectionTakesNoNewCalls(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "registro", longWait, 1, "x")
+	silent, id := receive(t, w.origin.calls, "call").conn, uint16(1)
+	w.eventually("a call on another connection", func() bool {
+		id++
+		c.ask(id, "registro", longWait, 1, "x")
+		got := receive(t, w.origin.calls, "call")
+		got.words[0] = "answered"
+		if got.conn != silent {
+			return true
+		}
+		c.record(2, id, "")
+		time.Sleep(100 * time.Millisecond)
+		return false
+	})
+}
+
+func TestMalformedClients(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	for _, bytes := range []string{"GET / HTTP/1.1\r\n\r\n", "\x01\x01\x00\x01\x00\x00\x00\x00", "\x01\x01\x00\x01\x00\x08\x00\x00\x00\x01\x01\x00\x00\x00\x00\x00" +
+		"\x01\x04\x00\x01\x00\x03\x00\x00\xff\xff\xff\x01\x04\x00\x01\x00\x00\x00\x00"} {
+		c := w.dial()
+		fmt.Fprint(c, bytes)
+		if a := receive(t, c.answers, "close"); a.id != 0 {
+			t.Errorf("%q: %+v", bytes, a)
+		}
+	}
+	c := w.dial()
+	for i, extra := range [][]string{{"HTTP_REQ_ID", "a,b=c"}, {"HTTP_REQ_WAIT_MS", "soon"}, {"HTTP_X_PIECE", "-1"},
+		{"HTTP_X_LOT", "256"}, {"HTTP_REQ_KEY", ""}, {"SCRIPT_NAME", "/ops/none"}, {"SCRIPT_NAME", "/"}} {
+		c.ask(uint16(i+1), "artes", longWait, 1, "", extra...)
+		if a := receive(t, c.answers, "answer"); a.status != "400" {
+			t.Errorf("%v: %+v", extra, a)
+		}
+	}
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that reads nothing neither holds up the others nor costs memory without bound.
+func TestClientThatDoesNotRead(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", strings.Repeat("x", 240_000))
+	stuck, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stuck.Close()
+	for id := range uint16(30) {
+		(&client{Conn: stuck}).ask(id+1, "artes", longWait, int(id), "")
+	}
+	c := w.dial()
+	for id := range uint16(20) {
+		c.ask(id+1, "artes", longWait, int(id), "")
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Fatalf("%s, %d bytes", a.status, len(a.body))
+		}
+	}
+}
+
+func TestDrainedCacheGetsNothingNew(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	w.cache.serve("served", "-", "first")
+	second.serve("served", "-", "second")
+	c, id := w.dial(), uint16(0)
+	served := func(object int) string {
+		id++
+		c.ask(id, "artes", longWait, object, "")
+		return receive(t, c.answers, "answer").body
+	}
+	w.tell(list(2, false, member("c1", "std", "edge", "DRAINING", w.cache), member("c2", "std", "edge", "SERVING", second)))
+	w.eventually("the list was heeded", func() bool { return served(1) == "second" })
+	for object := range 20 {
+		if got := served(object); got != "second" {
+			t.Errorf("object %d from %q", object, got)
+		}
+	}
+}
+
+// Connections belong to a server, not to its address: the next server there gets connections of its own.
+func TestNewServerAtAnOldAddress(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	c, id := w.dial(), uint16(1)
+	c.ask(id, "artes", longWait, 1, "")
+	old := receive(t, w.cache.calls, "call")
+	w.tell(list(2, false, member("c1", "std", "edge", "DELETED", w.cache), member("c9", "std", "edge", "SERVING", w.cache)))
+	w.eventually("a call on a new connection", func() bool {
+		id++
+		c.ask(id, "artes", longWait, 1, "")
+		got := receive(t, w.cache.calls, "call")
+		got.answer("served", "-", "new")
+		receive(t, c.answers, "answer")
+		return got.conn != old.conn
+	})
+	old.answer("served", "-", "old") // what was out may still be answered
+	if a := receive(t, c.answers, "answer"); a.id != 1 || a.body != "old" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// After a purge no older copy is asked for, and no fill is joined that may bring one.
+func TestPurgeBoundsTheAge(t *testing.T) {
+	for _, purge := range []string{`{"index":2,"evict":{"ref":"0000000000000001","unix_ms":%d}}`, `{"index":2,"evict":{"shard":17,"unix_ms":%d}}`} {
+		w := newWorld(t)
+		receive(t, w.follows, "follow")
+		c, id := w.dial(), uint16(0)
+		moment := time.Now().Add(-2 * time.Second)
+		w.tell(fmt.Sprintf(purge, moment.UnixMilli()))
+		w.eventually("an age in a call", func() bool {
+			id++
+			c.ask(id, "artes", longWait, 1, "")
+			got := receive(t, w.cache.calls, "call")
+			most := time.Since(moment).Milliseconds()
+			got.answer("served", "-", "")
+			receive(t, c.answers, "answer")
+			age, _ := strconv.ParseInt(got.fields["maxage"], 10, 64)
+			if age > most || age > 0 && strings.Contains(got.fields["flags"], "coalesce") {
+				t.Errorf("%q when the purge was %d ms ago", got.words[2], most)
+			}
+			return age > 0
+		})
+	}
+}
+
+// The stream is followed anew from the last event taken: after a bad line, a gap, a number that says events
+// are missing, its end, and a silence. Repeats are dropped.
+func TestCoordinatorIsFollowedAnew(t *testing.T) {
+	w := newWorld(t)
+	follow := func(what, want string) {
+		t.Helper()
+		if got := receive(t, w.follows, "follow "+what); got != want {
+			t.Errorf("%s: %q, want %q", what, got, want)
+		}
+	}
+	follow("at the start", "follow 1")
+	w.tell(`{"index":1,"evict":{"shard":1,"unix_ms":1}}`)
+	w.tell(`{"index":2,"evict":{"shard":1,"unix_ms":1}}`)
+	w.tell("2")
+	w.tell("nonsense")
+	follow("after a bad line", "follow 2")
+	w.tell(`{"index":4,"evict":{"shard":1,"unix_ms":1}}`)
+	follow("after a gap", "follow 2")
+	w.tell("3")
+	follow("after a number too high", "follow 2")
+	w.tell(`{"index":3,"evict":{"shard":1,"unix_ms":1}}`)
+	w.feed.(*net.TCPConn).CloseWrite()
+	follow("after the stream's end", "follow 3")
+	follow("after silence", "follow 3")
+}
+
+func TestAliveOnceTheListIsKnown(t *testing.T) {
+	w := prepare(t)
+	w.start()
+	w.awaitAlive("503")
+	if got := receive(t, w.follows, "follow"); got != "follow 0" {
+		t.Errorf("%q", got)
+	}
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.status != "503" {
+		t.Errorf("without a list: %+v", a)
+	}
+	w.tell(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+}
+
+// At an ordered stop everything that still comes is answered, and the program ends by itself.
+func TestTermAnswersEverything(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	first := receive(t, w.cache.calls, "call")
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	w.awaitAlive("503")
+	late := w.dial()
+	late.ask(1, "artes", longWait, 2, "")
+	second := receive(t, w.cache.calls, "call")
+	w.eventually("no more connections taken", func() bool {
+		conn, err := net.Dial("tcp", w.addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	first.answer("served", "-", "one")
+	second.answer("served", "-", "two")
+	if a := receive(t, c.answers, "answer"); a.body != "one" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, late.answers, "answer"); a.body != "two" {
+		t.Errorf("%+v", a)
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestBadConfiguration(t *testing.T) {
+	for want, config := range map[string]any{
+		"listen":      map[string]any{"listen": "nowhere"},
+		"coordinator": map[string]any{"listen": "127.0.0.1:1", "coordinator": "nowhere"},
+		"seed":        map[string]any{"listen": "127.0.0.1:1", "coordinator": "127.0.0.1:2", "seed": "xyz"},
+		"limits":      map[string]any{"listen": "127.0.0.1:1", "coordinator": "127.0.0.1:2", "seed": "1"},
+		"cannot":      []int{1},
+	} {
+		cmd := program(t, config)
+		cmd.Stderr = nil
+		out, err := cmd.CombinedOutput()
+		if _, failed := err.(*exec.ExitError); !failed || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), want) {
+			t.Errorf("%s: %v %q", want, err, out)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/cloverdoor/world_test.go
@@ -0,0 +1,343 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The tests start this test binary as the real program.
+func TestMain(m *testing.M) {
+	if os.Getenv("CLOVERDOOR_TEST_PROGRAM") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// patience bounds every wait of a test; none of them depends on how long one really takes.
+const patience = 20 * time.Second
+
+func receive[T any](t *testing.T, from <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatalf("no %s", what)
+	}
+	return v
+}
+
+// call is a command that reached a server, on its connection.
+type call struct {
+	conn   net.Conn
+	words  []string
+	fields map[string]string
+}
+
+func (c *call) answer(word, fields, body string) {
+	fmt.Fprintf(c.conn, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n",
+		len(c.words[1]), c.words[1], len(word), word, len(fields), fields, len(body), body)
+}
+
+// server stands in for a cache, a parent or the origin.
+type server struct {
+	net.Listener
+	calls chan *call // REQ
+	stops chan *call // STOP
+}
+
+func newServer(t *testing.T) *server {
+	s := &server{listen(t), make(chan *call, 1000), make(chan *call, 1000)}
+	go serveEach(s, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for {
+			words, err := command(in)
+			if err != nil {
+				return
+			}
+			c := &call{conn: conn, words: words, fields: map[string]string{}}
+			if words[0] == "STOP" {
+				s.stops <- c
+				continue
+			}
+			for _, f := range strings.Split(words[2], ",") {
+				name, value, _ := strings.Cut(f, "=")
+				c.fields[name] = value
+			}
+			s.calls <- c
+		}
+	})
+	return s
+}
+
+// serve answers every call alike from now on.
+func (s *server) serve(word, fields, body string) {
+	go func() {
+		for c := range s.calls {
+			c.answer(word, fields, body)
+		}
+	}()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func serveEach(l net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
+func command(in *bufio.Reader) (words []string, err error) {
+	var n, size int
+	if _, err := fmt.Fscanf(in, "*%d\r\n", &n); err != nil {
+		return nil, err
+	}
+	for range n {
+		if _, err := fmt.Fscanf(in, "$%d\r\n", &size); err != nil {
+			return nil, err
+		}
+		word := make([]byte, size+2)
+		if _, err := io.ReadFull(in, word); err != nil {
+			return nil, err
+		}
+		words = append(words, string(word[:size]))
+	}
+	return words, nil
+}
+
+// world is the program and all that it talks to.
+type world struct {
+	t             *testing.T
+	cmd           *exec.Cmd
+	addr          string
+	follows       chan string // 'follow' lines
+	mu            sync.Mutex
+	feed          net.Conn
+	cache, origin *server
+	exit          chan error
+}
+
+// member is an entry of the coordinator's list.
+func member(id, kind, zone, state string, at net.Listener) map[string]any {
+	return map[string]any{"id": id, "addr": at.Addr().String(), "zone": zone, "kind": kind, "state": state, "weight": 10000}
+}
+
+func list(index int, full bool, servers ...any) map[string]any {
+	return map[string]any{"index": index, "endpoints": map[string]any{"version": index, "full": full, "servers": servers}}
+}
+
+// newWorld starts the program with one cache and the origin known from the start, as event 1.
+func newWorld(t *testing.T) *world {
+	w := prepare(t)
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	return w
+}
+
+func prepare(t *testing.T) *world {
+	return &world{t: t, follows: make(chan string, 100), cache: newServer(t), origin: newServer(t), exit: make(chan error, 1)}
+}
+
+func (w *world) start(known ...any) {
+	coordinator, free := listen(w.t), listen(w.t)
+	w.addr = free.Addr().String()
+	free.Close()
+	go serveEach(coordinator, func(conn net.Conn) {
+		w.mu.Lock()
+		w.feed = conn
+		w.mu.Unlock()
+		in := bufio.NewScanner(conn)
+		for in.Scan() {
+			w.follows <- in.Text()
+		}
+	})
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"name": name, "semantics": effect, "promise-us": 500000, "gain": 1}
+	}
+	w.cmd = program(w.t, map[string]any{
+		"name": "n1", "listen": w.addr, "seed": "8c1f30d27a5be964", "coordinator": coordinator.Addr().String(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":  map[string]any{"index": len(known), "updates": known},
+		"settings": map[string]any{
+			"areas": []string{"hub", "edge"}, "host-types": []string{"std", "parent", "origin"}, "zone": 1, "group-size": 1, "weight-source": "nominal",
+			"classes": []any{class("artes", "read_like"), class("registro", "non_idempotent")},
+			"domain": map[string]any{"direct": true, "root-kind": 2, "upper-kind": 1, "can-join": true, "pass-on": []bool{false, true},
+				"cleared-within-us": 6000000, "purge-slack-us": 300000, "peers-fill": "location"},
+			"limits": map[string]any{"connect-timeout-us": 400000, "conn-idle-us": 15000000, "streams-per-conn": 32,
+				"max-attempts": 8, "may-cancel": true, "second-copies": true, "max-retry-after-us": 500000},
+			"rules": map[string]any{"start-capacity": 1, "warm-within-us": 1, "fall-multiple": 2, "fall-us": 1000000},
+		},
+	})
+	if err := w.cmd.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	go func() { w.exit <- w.cmd.Wait() }()
+	w.t.Cleanup(func() { w.cmd.Process.Kill() }) //nolint:errcheck // it may have ended
+}
+
+func program(t *testing.T, config any) *exec.Cmd {
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "CLOVERDOOR_TEST_PROGRAM=1", "BALANCER_CONFIG="+path)
+	cmd.Stderr = os.Stderr
+	return cmd
+}
+
+// tell sends a line to whoever follows the coordinator now.
+func (w *world) tell(line any) {
+	w.t.Helper()
+	text, ok := line.(string)
+	if !ok {
+		b, err := json.Marshal(line)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		text = string(b)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, err := io.WriteString(w.feed, text+"\n"); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// eventually tries until done.
+func (w *world) eventually(what string, done func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never happened: %s", what)
+		}
+	}
+}
+
+func (w *world) awaitAlive(status string) {
+	w.t.Helper()
+	w.eventually("/alive "+status, func() bool {
+		conn, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			return false
+		}
+		c := newClient(conn)
+		defer conn.Close()
+		c.send(1, map[string]string{"SCRIPT_NAME": "/alive"}, "")
+		got := receive(w.t, c.answers, "answer to /alive")
+		return got.status == status
+	})
+}
+
+// client is one FastCGI connection.
+type client struct {
+	net.Conn
+	answers chan answer
+}
+
+// answer is a whole answer, or the end of the connection when id is 0.
+type answer struct {
+	id              uint16
+	status, body    string
+	headers         string
+	protocol, count byte // the protocol's status
+}
+
+func (w *world) dial() *client {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { conn.Close() })
+	return newClient(conn)
+}
+
+func newClient(conn net.Conn) *client {
+	c := &client{conn, make(chan answer, 1000)}
+	go c.read()
+	return c
+}
+
+func (c *client) read() {
+	defer func() { c.answers <- answer{} }()
+	texts := map[uint16]string{}
+	for {
+		var head [8]byte
+		if _, err := io.ReadFull(c, head[:]); err != nil {
+			return
+		}
+		id, content := binary.BigEndian.Uint16(head[2:]), make([]byte, binary.BigEndian.Uint16(head[4:])+uint16(head[6]))
+		if _, err := io.ReadFull(c, content); err != nil {
+			return
+		}
+		if head[1] == 6 {
+			texts[id] += string(content)
+		}
+		if head[1] == 3 {
+			top, body, _ := strings.Cut(texts[id], "\r\n\r\n")
+			status, headers, _ := strings.Cut(strings.TrimPrefix(top, "Status: "), "\r\n")
+			c.answers <- answer{id: id, status: status, headers: headers, body: body, protocol: content[4]}
+			delete(texts, id)
+		}
+	}
+}
+
+func (c *client) record(kind byte, id uint16, content string) {
+	head := []byte{1, kind, byte(id >> 8), byte(id), byte(len(content) >> 8), byte(len(content)), 0, 0}
+	c.Write(append(head, content...)) //nolint:errcheck // a lost connection shows in the answers
+}
+
+func (c *client) send(id uint16, params map[string]string, body string) {
+	c.record(1, id, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	var pairs []byte
+	for name, value := range params {
+		pairs = append(append(append(pairs, byte(len(name)), byte(len(value))), name...), value...)
+	}
+	c.record(4, id, string(pairs))
+	c.record(4, id, "")
+	if body != "" {
+		c.record(5, id, body)
+	}
+	c.record(5, id, "")
+}
+
+// ask sends a request for an object that is named by number; extra fields come in pairs.
+func (c *client) ask(id uint16, class string, wait int, object int, body string, extra ...string) {
+	params := map[string]string{
+		"SCRIPT_NAME": "/ops/" + class, "HTTP_REQ_ID": fmt.Sprintf("%016x", time.Now().UnixNano()), "HTTP_REQ_WAIT_MS": strconv.Itoa(wait),
+		"HTTP_REQ_KEY": fmt.Sprintf("%016x", object), "HTTP_X_PIECE": "3", "HTTP_X_LOT": "17",
+	}
+	for i := 0; i < len(extra); i += 2 {
+		params[extra[i]] = extra[i+1]
+	}
+	c.send(id, params, body)
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -19,7 +19,6 @@
 	created net.Clock
 	on      *upstream // nil: it got no connection
 	started bool      // its first byte has been written: it may run
-	sentAt  net.Clock
 	ended   bool
 }
 
@@ -65,7 +64,10 @@
 }
 
 // Started notes that the call may run from now on.
-func (a *attempt) Started() { a.started, a.sentAt = true, a.p.loop.Now() }
+func (a *attempt) Started() {
+	a.started = true
+	a.on.started()
+}
 
 // answered takes the answer to an attempt. The first good one is the request's.
 func (p *Proxy) answered(a *attempt, ans resp.Answer) error {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -18,6 +18,7 @@
 	p     *Proxy
 	slot  *net.Slot
 	calls map[string]*attempt // by the request's id, which answers come under
+	since net.Clock           // from when on an answer has been waited for without a byte; 0: none is due
 }
 
 // openUpstream makes the owner of a new connection.
@@ -31,20 +32,31 @@
 	return !u.quiet() && u.calls[q.ID] == nil && !slices.ContainsFunc(q.attempts, func(a *attempt) bool { return a.on == u })
 }
 
-// quiet says that a call has been out for long and nothing at all has come since. The machine may be cut off:
-// calls put on this connection would wait for good, and one that must not run twice could not be sent again. A
-// new connection finds out.
+// quiet says that a call was sent long ago and nothing at all has come since. The machine may be cut off: calls
+// put on this connection would wait for good, and one that must not run twice could not be sent again. A new
+// connection finds out. It counts from the first call, also of several that were given up soon.
 func (u *upstream) quiet() bool {
-	for _, a := range u.calls {
-		if a.started && u.slot.Heard() < a.sentAt && u.p.loop.Now()-a.sentAt > quietAfter {
-			return true
-		}
+	return u.since != 0 && u.p.loop.Now()-u.since > quietAfter
+}
+
+// started notes that a call has been written.
+func (u *upstream) started() {
+	if u.since == 0 {
+		u.since = u.p.loop.Now()
+	}
+}
+
+// heard notes that something has come; what is still out is waited for from now on.
+func (u *upstream) heard() {
+	u.since = 0
+	if len(u.calls) > 0 {
+		u.since = u.p.loop.Now()
 	}
-	return false
 }
 
 // Receive takes whole answers off what has come in.
 func (u *upstream) Receive(data []byte) (used int, err error) {
+	defer u.heard()
 	for {
 		n, ans, err := resp.Decode(data[used:])
 		if n == 0 || err != nil {
@@ -83,10 +95,7 @@
 func (u *upstream) leave(a *attempt, unanswered bool) {
 	delete(u.calls, a.req.ID)
 	if a.started && unanswered && !u.slot.Ended() {
-		if u.slot.Heard() < a.sentAt {
-			// Nothing at all has come since: the connection may be dead, and new calls would wait on it.
-			u.slot.Stale = true
-		}
+		u.slot.Stale = u.slot.Stale || u.quiet()
 		u.slot.Write(resp.AppendStop(nil, a.req.ID))
 	}
 	u.slot.Release()
