--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# build, test, lint, run: the one place for the commands that README names.
+.PHONY: build test lint fuzz run toy
+
+STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+build:
+	mkdir -p bin
+	go build -buildvcs=false -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+lint:
+	@unformatted=$$(gofmt -l policy internal cmd example); \
+	if [ -n "$$unformatted" ]; then echo "not gofmt'ed: $$unformatted"; exit 1; fi
+	go vet ./...
+	go run $(STATICCHECK) ./...
+
+fuzz:
+	for p in fastcgi resp feed; do go test ./internal/$$p -run '^$$' -fuzz FuzzDecode -fuzztime 20s || exit 1; done
+
+# The proxy with the example's configuration; start the toy servers first.
+run: build
+	BALANCER_CONFIG=example/config.json bin/cloverdoor
+
+toy:
+	go run ./example/toy serve
--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -41,6 +41,7 @@
 	logger := log.New(os.Stderr, "cloverdoor: ", 0)
 	cfg, err := load(os.Getenv)
 	if err == nil {
+		logger.SetPrefix("cloverdoor " + cfg.Name + ": ")
 		err = run(cfg, logger)
 	}
 	if err != nil {
@@ -66,7 +67,7 @@
 	return p.Run(stop)
 }
 
-// load reads the configuration. The environment's address goes before the file's.
+// load reads the configuration. The environment's address and name go before the file's.
 func load(env func(string) string) (*config, error) {
 	path := env("BALANCER_CONFIG")
 	if path == "" {
@@ -83,6 +84,9 @@
 	if listen := env("BALANCER_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
+	if name := env("BALANCER_NAME"); name != "" {
+		c.Name = name
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -265,10 +265,10 @@
 
 // answer is a whole answer, or the end of the connection when id is 0.
 type answer struct {
-	id              uint16
-	status, body    string
-	headers         string
-	protocol, count byte // the protocol's status
+	id           uint16
+	status, body string
+	headers      string
+	protocol     byte // the protocol's status
 }
 
 func (w *world) dial() *client {
