--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -184,14 +184,17 @@
 func TestClientThatDoesNotRead(t *testing.T) {
 	w := newWorld(t)
 	w.cache.serve("served", "-", strings.Repeat("x", 240_000))
-	stuck, err := net.Dial("tcp", w.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer stuck.Close()
-	for id := range uint16(30) {
-		(&client{Conn: stuck}).ask(id+1, "artes", longWait, int(id), "")
+	stick := func(requests uint16) {
+		stuck, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { stuck.Close() })
+		for id := range requests {
+			(&client{Conn: stuck}).ask(id+1, "artes", longWait, int(id), "")
+		}
 	}
+	stick(30)
 	c := w.dial()
 	for id := range uint16(20) {
 		c.ask(id+1, "artes", longWait, int(id), "")
@@ -199,6 +202,16 @@
 			t.Fatalf("%s, %d bytes", a.status, len(a.body))
 		}
 	}
+	for range 60 { // 460 MB of answers, were they all kept
+		stick(32)
+	}
+	for id := range uint16(200) { // some are refused meanwhile
+		c.ask(id+1, "artes", longWait, int(id), "")
+		if a := receive(t, c.answers, "answer"); a.id != id+1 {
+			t.Fatalf("%+v", a)
+		}
+	}
+	w.checkMemory()
 }
 
 func TestDrainedCacheGetsNothingNew(t *testing.T) {
@@ -368,3 +381,60 @@
 		}
 	}
 }
+
+// More connections than the descriptors allow are closed; those taken before go on.
+func TestConnectionsAreBounded(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	c := w.dial()
+	closed := make(chan answer, 1000)
+	for range 600 {
+		conn, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		go (&client{conn, closed}).read()
+	}
+	for range 600 - 409 {
+		receive(t, closed, "close of a connection beyond two fifths of the descriptors")
+	}
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// More bodies than the memory allows are refused while they last, and the process stays within its limit.
+func TestFloodIsRefused(t *testing.T) {
+	w := newWorld(t)
+	body, answers := strings.Repeat("b", 48_000), make(chan answer, 10_000)
+	var conns []*client
+	for range 60 {
+		c := w.dial()
+		conns = append(conns, c)
+		go func() {
+			for a := range c.answers {
+				answers <- a
+			}
+		}()
+		go func() {
+			for id := range uint16(32) { // 92 MB in all; the origin answers none of it
+				c.ask(id+1, "registro", longWait, int(id), body)
+			}
+		}()
+	}
+	if a := receive(t, answers, "refusal"); a.protocol != 2 {
+		t.Errorf("%+v, want OVERLOADED", a)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	w.cache.serve("served", "-", "fine")
+	w.eventually("an answer after the flood", func() bool {
+		c := w.dial()
+		c.ask(1, "artes", longWait, 1, "")
+		return receive(t, c.answers, "answer").body == "fine"
+	})
+	w.checkMemory()
+}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -257,6 +257,20 @@
 	})
 }
 
+// checkMemory checks the program's peak against its limit.
+func (w *world) checkMemory() {
+	w.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.cmd.Process.Pid))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	kb, err := strconv.Atoi(strings.Fields(peak)[0])
+	if w.t.Logf("%d KB at the peak", kb); err != nil || kb > 192<<10 {
+		w.t.Errorf("%d KB at the peak, %v", kb, err)
+	}
+}
+
 // client is one FastCGI connection.
 type client struct {
 	net.Conn
