Let the loop's time move on steadily from one reading of the Unix clock

Seen while reading: a wall clock set back would have stopped every timer and deadline until it caught up, as tick took the later of two readings (loop.go tick). Now the Unix clock is read at the start and monotonic time added; a purge's age is taken from the system's clock when it is told (coordinator.go told). A log nobody reads any more (SIGPIPE) no longer ends the process, and New sets its limits in one expression each.

Ruled out: taking the monotonic time for purges too, as a purge told after a step would look younger than it is.

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to stop
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	p := proxy.New(loop, cfg.proxy, logger)
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -23,6 +23,7 @@
 	epoll  int
 	fds    map[int]pollable
 	timers timers
+	start  time.Time
 	now    Clock
 	dirty  []*Conn // with output queued in this turn
 	held   int     // bytes held in all buffers and queues
@@ -39,7 +40,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("epoll_create: %w", err)
 	}
-	l := &Loop{epoll: epoll, fds: map[int]pollable{}, read: make([]byte, readSize), events: make([]unix.EpollEvent, 256)}
+	l := &Loop{
+		epoll: epoll, fds: map[int]pollable{}, start: time.Now(),
+		read: make([]byte, readSize), events: make([]unix.EpollEvent, 256),
+	}
 	l.tick()
 	return l, nil
 }
@@ -50,8 +54,9 @@
 // Held is how many bytes all connections hold, received and not used or queued and not written.
 func (l *Loop) Held() int { return l.held }
 
-// tick reads the clock. A clock that is set back stands still: times must not run backwards.
-func (l *Loop) tick() { l.now = max(l.now, Clock(time.Now().UnixNano())) }
+// tick moves the loop's time on by what has passed since the start. It begins at the Unix clock and does not
+// follow a later change of that: deadlines must neither stand still nor all come at once.
+func (l *Loop) tick() { l.now = Clock(l.start.UnixNano()) + time.Since(l.start) }
 
 // Wait sleeps until something is ready, the next timer is due or most has passed, and runs the callbacks of all
 // that is ready.
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -107,8 +107,7 @@
 func (p *Proxy) told(ev feed.Event) {
 	if v := ev.Evict; v != nil {
 		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
-		moment := time.Duration(v.At+1) * time.Millisecond
-		purge := policy.Purge{Object: v.Object, Age: max(0, p.loop.Now()-moment)}
+		purge := policy.Purge{Object: v.Object, Age: max(0, time.Since(time.UnixMilli(v.At+1)))}
 		if v.Group != nil {
 			purge.Group = *v.Group
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"log"
 	"os"
@@ -31,10 +32,14 @@
 	answerTime = 60 * time.Millisecond
 	// drainTime is how long after the order to stop clients may still come: connections for 0.4 s, requests on
 	// them for 0.2 s more.
-	drainTime   = 700 * time.Millisecond
-	longestNap  = 50 * time.Millisecond // between looks at the order to stop
-	sweepEvery  = time.Second
-	defaultIdle = 10 * time.Second
+	drainTime  = 700 * time.Millisecond
+	longestNap = 50 * time.Millisecond // between looks at the order to stop
+	sweepEvery = time.Second
+	mostOpen   = 4096 // requests open at once; the settings may say fewer
+
+	// Where the settings tell nothing.
+	defaultIdle    = 15 * time.Second
+	defaultConnect = time.Second
 )
 
 // Config is what a proxy is told at its start.
@@ -85,25 +90,14 @@
 	p := &Proxy{
 		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), set: cfg.Settings, log: logger,
 		requests: map[int64]*request{}, servers: map[string]int64{},
-		mostOpen: 4096, mostHeld: cfg.Memory / 4,
-	}
-	if cfg.Settings.MaxOpen > 0 {
-		p.mostOpen = min(p.mostOpen, cfg.Settings.MaxOpen)
-	}
-	idle := defaultIdle
-	if cfg.Settings.ConnIdle > 0 {
-		idle = cfg.Settings.ConnIdle * 2 / 3
-	}
-	streams := cfg.Settings.StreamsPerConn
-	if streams <= 0 {
-		streams = 1
-	}
-	connect := cfg.Settings.ConnectTimeout
-	if connect <= 0 {
-		connect = time.Second
+		mostOpen: min(mostOpen, cmp.Or(cfg.Settings.MaxOpen, mostOpen)), mostHeld: cfg.Memory / 4,
 	}
 	p.pools = net.NewPools(loop, net.Limits{
-		Streams: streams, Sockets: UpstreamSockets(cfg.Sockets), ConnectTimeout: connect, Idle: idle,
+		Streams:        max(1, cfg.Settings.StreamsPerConn),
+		Sockets:        UpstreamSockets(cfg.Sockets),
+		ConnectTimeout: cmp.Or(cfg.Settings.ConnectTimeout, defaultConnect),
+		// Before the server closes it: a call that crosses the server's close would be lost.
+		Idle: cmp.Or(cfg.Settings.ConnIdle, defaultIdle) * 2 / 3,
 	}, p.openUpstream)
 	for _, ev := range cfg.Known.Updates {
 		p.told(ev)
