Close connections of clients that vanished, and test the log without a reader

Seen while reading: front.go watch closed a silent client only when it had output waiting; one that vanished idle or in mid-request kept its descriptor for good, and 409 of those shut the front. Clients close after 4 s idle, so 10 s without a byte and without an open request is a dead machine.

Checked: the new process tests; TestLogWithoutReader fails without signal.Ignore in main.go (no reconnect: the process is dead) and passes with it.

--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"os/exec"
 	"strconv"
 	"strings"
@@ -137,6 +138,7 @@
 
 // A connection on which calls are out and nothing comes may be dead: new calls go to a new one.
 func TestQuietConnectionTakesNoNewCalls(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	c := w.dial()
 	c.ask(1, "registro", longWait, 1, "x")
@@ -214,6 +216,41 @@
 	w.checkMemory()
 }
 
+// A client that vanished without a word must not keep a descriptor: not when idle, not in mid-request.
+func TestVanishedClientsAreClosed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	idle, half, waiting := w.dial(), w.dial(), w.dial()
+	half.record(1, 1, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	waiting.ask(1, "artes", longWait, 1, "")
+	for _, c := range []*client{idle, half} {
+		if a := receive(t, c.answers, "close"); a.id != 0 {
+			t.Errorf("%+v", a)
+		}
+	}
+	receive(t, w.cache.calls, "call").answer("served", "-", "late")
+	if a := receive(t, waiting.answers, "answer"); a.body != "late" {
+		t.Errorf("one that is owed an answer: %+v", a)
+	}
+}
+
+// A log that nobody reads any more is no reason to stop.
+func TestLogWithoutReader(t *testing.T) {
+	w := prepare(t)
+	r, log, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	defer log.Close()
+	w.log = log
+	w.start()
+	receive(t, w.follows, "follow")
+	w.tell("nonsense") // is logged
+	receive(t, w.follows, "follow")
+	w.awaitAlive("503")
+}
+
 func TestDrainedCacheGetsNothingNew(t *testing.T) {
 	w := newWorld(t)
 	receive(t, w.follows, "follow")
@@ -284,6 +321,7 @@
 // The stream is followed anew from the last event taken: after a bad line, a gap, a number that says events
 // are missing, its end, and a silence. Repeats are dropped.
 func TestCoordinatorIsFollowedAnew(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	follow := func(what, want string) {
 		t.Helper()
@@ -374,7 +412,6 @@
 		"cannot":      []int{1},
 	} {
 		cmd := program(t, config)
-		cmd.Stderr = nil
 		out, err := cmd.CombinedOutput()
 		if _, failed := err.(*exec.ExitError); !failed || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), want) {
 			t.Errorf("%s: %v %q", want, err, out)
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -139,6 +139,7 @@
 	feed          net.Conn
 	cache, origin *server
 	exit          chan error
+	log           *os.File // of the program
 }
 
 // member is an entry of the coordinator's list.
@@ -159,7 +160,7 @@
 }
 
 func prepare(t *testing.T) *world {
-	return &world{t: t, follows: make(chan string, 100), cache: newServer(t), origin: newServer(t), exit: make(chan error, 1)}
+	return &world{t: t, follows: make(chan string, 100), cache: newServer(t), origin: newServer(t), exit: make(chan error, 1), log: os.Stderr}
 }
 
 func (w *world) start(known ...any) {
@@ -192,6 +193,7 @@
 			"rules": map[string]any{"start-capacity": 1, "warm-within-us": 1, "fall-multiple": 2, "fall-us": 1000000},
 		},
 	})
+	w.cmd.Stderr = w.log
 	if err := w.cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
@@ -210,7 +212,6 @@
 	}
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "CLOVERDOOR_TEST_PROGRAM=1", "BALANCER_CONFIG="+path)
-	cmd.Stderr = os.Stderr
 	return cmd
 }
 
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -17,6 +17,9 @@
 	opsPath    = "/ops/"
 	// stuckAfter is how long a client may take nothing of what it is owed before its connection is closed.
 	stuckAfter = 10 * time.Second
+	// idleAfter is when a connection that brings nothing and is owed nothing is closed. Clients close theirs
+	// after 4 s, so one that stays is that of a machine that vanished, and would keep its descriptor for good.
+	idleAfter = 10 * time.Second
 )
 
 var errFull = errors.New("memory for clients is used up")
@@ -56,8 +59,8 @@
 	return cc
 }
 
-// watch looks after connections now and then: those whose peer takes nothing are closed, and when the proxy
-// is leaving all that are done with.
+// watch looks after connections now and then: those whose peer takes nothing or has vanished are closed, and
+// when the proxy is leaving all that are done with.
 func (f *Front) watch() {
 	if f.p.Leaving() {
 		f.listener.Close()
@@ -68,6 +71,8 @@
 		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
+		case len(c.open) == 0 && f.p.loop.Now()-c.conn.Heard() > idleAfter:
+			c.conn.CloseFlushed()
 		case f.p.Leaving():
 			c.closeIfDone()
 		}
