Learn a class's sending time from hits where sizes are not told

At fault: observeRequest took a quarter of the aim for the sending time, 32 and 52 ms against 2-9 and 170-300 ms, and observePace read every large object on a free link as a slow link, down to the least of capRange.

Now hits on links thought free teach the class's mean, and an answer of unknown size teaches a free link only when it took three times the mean.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	capSmooth    = 0.1  // how fast a link's share follows its answers
 	capRange     = 4.0  // a link's share stays within this factor of where it started
 	stretched    = 1.2  // an answer slower than this many sending times says something of a link
+	unusual      = 3.0  // objects more times as large as the mean are few; such an answer was slowed
 	roomShare    = 0.7  // share of the time to the aim that a link may take before its member is passed over
 	fullPressure = 2.0  // at this many times the sending time long requests weigh in full
 
@@ -494,7 +495,18 @@
 	if a.slowest != nil && !hit && a.fillTakes > a.takes {
 		l, expected = a.slowest, a.fillTakes
 	}
-	took, work := math.Max((o.Took-o.SourceWait).Seconds(), a.req.work), a.req.work
+	took, work := (o.Took - o.SourceWait).Seconds(), a.req.work
+	if a.req.SizeKB == 0 {
+		// A size that is not told is learned from hits on free links. The danger: a large object on a free
+		// link looks like a full link, and small requests are refused more and more.
+		if hit && a.takes < stretched*work {
+			r.work[a.req.Class].add(took, meanCount)
+		}
+		if expected < stretched*work && took < unusual*work {
+			return
+		}
+	}
+	took = math.Max(took, work)
 	if math.Max(took, expected) >= stretched*work {
 		l.learn(math.Max(expected, work) / took)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -698,3 +698,33 @@
 		t.Error("an attempt that was never made goes")
 	}
 }
+
+// Where sizes are not told, the sending time is learned from hits on free links, and a large object on a free
+// link must not pass for a full link: small requests would be refused more and more.
+func TestUntoldSizesAreLearned(t *testing.T) {
+	g := newRig(t)
+	guess := newRig(t).r.work[0].value
+	ask := func(id int64, took time.Duration) *member {
+		f := fetchOf(g.do(Request{ID: id, Object: "x", Class: 0, Left: 3 * time.Second}))
+		if f == nil {
+			t.Fatalf("request %d was not sent", id)
+		}
+		g.n += took
+		g.do(Outcome{ID: id, Result: ResultOK, Note: NoteHit, Took: took, Finished: true})
+		return g.r.members[f.Target]
+	}
+	var m *member
+	for id := range int64(50) {
+		m = ask(id+1, 300*ms)
+	}
+	if got := g.r.work[0].value; guess != 0 || math.Abs(got-0.3) > 0.01 {
+		t.Errorf("%v s learned from answers of 0.3 s, %v before", got, guess)
+	}
+	if m.lane.cap != m.lane.start {
+		t.Errorf("the link is taken for %v of %v transfers", m.lane.cap, m.lane.start)
+	}
+	ask(60, 2500*ms) // no size explains this one
+	if m.lane.cap >= m.lane.start {
+		t.Errorf("a link far slower than usual is still taken for %v of %v", m.lane.cap, m.lane.start)
+	}
+}
