Count no bytes for a connection that was closed while its input was taken

Seen while reading: an answer that meets full memory closes its connection (front.go write) in the midst of Receive, which then counted the decoder's unfinished requests again: they stayed in the sum for good, and a sum that only grows ends in refusing everything. Ruled out for the loop's own sum: handOver and Close agree on what each buffer holds.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -103,8 +103,12 @@
 	return used, err
 }
 
-// count keeps the proxy's sum of unfinished requests.
+// count keeps the proxy's sum of unfinished requests. A connection may be closed while what it brought is being
+// taken: counted afterwards, it would stay in the sum for good, and the front would refuse more and more.
 func (c *clientConn) count(held int) {
+	if c.open == nil {
+		held = 0
+	}
 	c.front.p.partial += held - c.partial
 	c.partial = held
 }
@@ -133,11 +137,11 @@
 // Closed gives up what was open on the connection.
 func (c *clientConn) Closed(error) {
 	delete(c.front.conns, c)
-	c.count(0)
 	for _, number := range c.open {
 		c.front.p.Abandon(number)
 	}
 	c.open = nil
+	c.count(0)
 }
 
 func (c *clientConn) request(r *fastcgi.Request) {
--- /dev/null
+++ b/internal/proxy/front_test.go
@@ -0,0 +1,20 @@
+package proxy
+
+import "testing"
+
+// What a closed connection held is given back, also when it is counted once more after its end.
+func TestClosedConnectionHoldsNothing(t *testing.T) {
+	f := &Front{p: &Proxy{}, conns: map[*clientConn]bool{}}
+	c := &clientConn{front: f, open: map[uint16]int64{}}
+	f.conns[c] = true
+	c.count(1000)
+	c.count(700)
+	if f.p.partial != 700 {
+		t.Errorf("%d bytes counted", f.p.partial)
+	}
+	c.Closed(nil)
+	c.count(700)
+	if f.p.partial != 0 || len(f.conns) != 0 {
+		t.Errorf("%d bytes and %d connections left", f.p.partial, len(f.conns))
+	}
+}
