Read the configuration again on SIGHUP and follow the coordinator it names

Now SIGHUP makes Proxy.reload read the file again. Only the coordinator's address is taken over; name, listen, limits and settings hold until the next start, which is logged where they differ.

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"cloverdoor/internal/feed"
@@ -60,12 +62,44 @@
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to stop
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	p := proxy.New(loop, cfg.proxy, logger)
 	if _, err := p.Listen(cfg.listen, proxy.ClientSockets(cfg.Limits.Sockets)); err != nil {
 		return err
 	}
 	p.Follow(cfg.coordinator, cfg.Known.Index)
-	return p.Run(stop)
+	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Read: func() (netip.AddrPort, error) {
+		now, err := load(os.Getenv)
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		if kept := cfg.keeps(now); kept != "" {
+			logger.Printf("changed in the configuration, and taken over at the next start only: %s", kept)
+		}
+		return now.coordinator, nil
+	}})
+}
+
+// keeps names what differs in a configuration read later and holds until the next start all the same. Sockets,
+// limits and the module's settings are fixed while the proxy runs; only the coordinator's address is taken over.
+// The known events are not among them: every one since is told by the coordinator.
+func (c *config) keeps(later *config) string {
+	var names []string
+	for _, field := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == later.Name},
+		{"listen", c.listen == later.listen},
+		{"limits", c.Limits == later.Limits},
+		{"settings", bytes.Equal(c.Settings, later.Settings)},
+	} {
+		if !field.same {
+			names = append(names, field.name)
+		}
+	}
+	return strings.Join(names, ", ")
 }
 
 // load reads the configuration. The environment's address and name go before the file's.
--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -345,6 +345,44 @@
 	follow("after silence", "follow 3")
 }
 
+// SIGHUP brings a new coordinator, whose numbers go on; a configuration that can't be read changes nothing. What
+// is open meanwhile is answered.
+func TestReloadFollowsTheNewCoordinator(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	w.tell(`{"index":2,"evict":{"shard":1,"unix_ms":1}}`)
+	w.tell("nonsense") // is answered by following anew, which shows that event 2 was taken
+	receive(t, w.follows, "follow")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	open := receive(t, w.cache.calls, "call")
+
+	good, err := os.ReadFile(w.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reload("{")
+	w.awaitAlive("200")
+	old := w.feed
+	reload(strings.Replace(string(good), old.LocalAddr().String(), w.coordinator(), 1))
+	if got := receive(t, w.follows, "follow"); got != "follow 2" || w.feed.LocalAddr().String() == old.LocalAddr().String() {
+		t.Errorf("%q at %v", got, w.feed.LocalAddr())
+	}
+	open.answer("served", "-", "fine")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
 func TestAliveOnceTheListIsKnown(t *testing.T) {
 	w := prepare(t)
 	w.start()
@@ -411,7 +449,7 @@
 		"limits":      map[string]any{"listen": "127.0.0.1:1", "coordinator": "127.0.0.1:2", "seed": "1"},
 		"cannot":      []int{1},
 	} {
-		cmd := program(t, config)
+		cmd, _ := program(t, config)
 		out, err := cmd.CombinedOutput()
 		if _, failed := err.(*exec.ExitError); !failed || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), want) {
 			t.Errorf("%s: %v %q", want, err, out)
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -133,6 +133,7 @@
 type world struct {
 	t             *testing.T
 	cmd           *exec.Cmd
+	config        string // path of its configuration
 	addr          string
 	follows       chan string // 'follow' lines
 	mu            sync.Mutex
@@ -164,23 +165,14 @@
 }
 
 func (w *world) start(known ...any) {
-	coordinator, free := listen(w.t), listen(w.t)
+	free := listen(w.t)
 	w.addr = free.Addr().String()
 	free.Close()
-	go serveEach(coordinator, func(conn net.Conn) {
-		w.mu.Lock()
-		w.feed = conn
-		w.mu.Unlock()
-		in := bufio.NewScanner(conn)
-		for in.Scan() {
-			w.follows <- in.Text()
-		}
-	})
 	class := func(name, effect string) map[string]any {
 		return map[string]any{"name": name, "semantics": effect, "promise-us": 500000, "gain": 1}
 	}
-	w.cmd = program(w.t, map[string]any{
-		"name": "n1", "listen": w.addr, "seed": "8c1f30d27a5be964", "coordinator": coordinator.Addr().String(),
+	w.cmd, w.config = program(w.t, map[string]any{
+		"name": "n1", "listen": w.addr, "seed": "8c1f30d27a5be964", "coordinator": w.coordinator(),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  map[string]any{"index": len(known), "updates": known},
 		"settings": map[string]any{
@@ -201,18 +193,34 @@
 	w.t.Cleanup(func() { w.cmd.Process.Kill() }) //nolint:errcheck // it may have ended
 }
 
-func program(t *testing.T, config any) *exec.Cmd {
+// coordinator starts a coordinator and returns its address.
+func (w *world) coordinator() string {
+	l := listen(w.t)
+	go serveEach(l, func(conn net.Conn) {
+		w.mu.Lock()
+		w.feed = conn
+		w.mu.Unlock()
+		in := bufio.NewScanner(conn)
+		for in.Scan() {
+			w.follows <- in.Text()
+		}
+	})
+	return l.Addr().String()
+}
+
+// program returns a command that starts the program, and the path of its configuration.
+func program(t *testing.T, config any) (cmd *exec.Cmd, path string) {
 	text, err := json.Marshal(config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
+	path = filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
+	cmd = exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "CLOVERDOOR_TEST_PROGRAM=1", "BALANCER_CONFIG="+path)
-	return cmd
+	return cmd, path
 }
 
 // tell sends a line to whoever follows the coordinator now.
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -29,15 +29,32 @@
 	addr  netip.AddrPort
 	last  int64 // number of the last event that was taken
 	conn  *net.Conn
-	since net.Clock // when conn was begun
+	since net.Clock  // when conn was begun
+	again *net.Timer // of the next connect, while there is no conn
 	pause time.Duration
 }
 
 // Follow keeps the proxy up to date with the coordinator at addr from event last on.
 func (p *Proxy) Follow(addr netip.AddrPort, last int64) {
-	f := &follower{p: p, addr: addr, last: last, pause: refollowAfter}
+	p.follower = &follower{p: p, addr: addr, last: last, pause: refollowAfter}
+	p.follower.connect()
+	p.follower.watch()
+}
+
+// Refollow goes over to the coordinator at addr; its events are numbered on from those of the one before. That
+// one is left at once: it may keep its connection open for a while and tell nothing more on it.
+func (p *Proxy) Refollow(addr netip.AddrPort) {
+	f := p.follower
+	if addr == f.addr {
+		return
+	}
+	f.addr, f.pause = addr, refollowAfter
+	p.loop.Stop(f.again)
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
 	f.connect()
-	f.watch()
 }
 
 func (f *follower) connect() {
@@ -99,7 +116,7 @@
 	if f.pause == refollowAfter { // one line for each outage
 		f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
 	}
-	f.p.loop.At(f.p.loop.Now()+f.pause, f.connect)
+	f.again = f.p.loop.At(f.p.loop.Now()+f.pause, f.connect)
 	f.pause = min(2*f.pause, refollowAtMost)
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log"
+	"net/netip"
 	"os"
 	"time"
 
@@ -67,10 +68,19 @@
 	bodies   int // bytes of the open requests' bodies
 	partial  int // bytes of requests that have not come whole
 
-	servers map[string]int64 // by id: when it started
-	pools   *net.Pools
-	fronts  []*Front
-	stopBy  net.Clock // while draining: when clients have stopped coming
+	servers  map[string]int64 // by id: when it started
+	pools    *net.Pools
+	fronts   []*Front
+	follower *follower
+	stopBy   net.Clock // while draining: when clients have stopped coming
+}
+
+// Orders are what the program is told from outside while it runs.
+type Orders struct {
+	Stop   <-chan os.Signal // drain, then end
+	Reload <-chan os.Signal // read the configuration again
+	// Read returns the coordinator's address as the configuration has it now.
+	Read func() (netip.AddrPort, error)
 }
 
 // request is one client request until its answer is given and its last attempt has ended.
@@ -116,18 +126,35 @@
 // Phase tells where the program stands.
 func (p *Proxy) Phase() Phase { return p.phase }
 
-// Run serves until it has been stopped. stop is looked at between turns.
-func (p *Proxy) Run(stop <-chan os.Signal) error {
+// Run serves until it has been stopped. Orders are looked at between turns.
+func (p *Proxy) Run(orders Orders) error {
 	for p.phase != Stopped {
 		if err := p.loop.Wait(longestNap); err != nil {
 			return fmt.Errorf("event loop: %w", err)
 		}
 		p.settle()
-		p.advance(stop)
+		p.reload(orders)
+		p.advance(orders.Stop)
 	}
 	return nil
 }
 
+// reload carries out an order to read the configuration again. One that can't be used changes nothing: the
+// proxy goes on serving with the one it has.
+func (p *Proxy) reload(orders Orders) {
+	select {
+	case <-orders.Reload:
+		addr, err := orders.Read()
+		if err != nil {
+			p.log.Printf("not taken over: %v", err)
+			return
+		}
+		p.log.Printf("configuration read again: coordinator %s", addr)
+		p.Refollow(addr)
+	default:
+	}
+}
+
 // advance moves to the phase that is due. Draining ends when clients have stopped coming and all they asked
 // for has been answered.
 func (p *Proxy) advance(stop <-chan os.Signal) {
