Forget a request taken back in its first turn only once the module knows it

Temporary counters showed refusals without any attempt; printed from Router.hopeless, the two caches' links had 150 to 239 attempts under way, their mean as high, and none of them ever left.

Cause: a bad client sends hundreds of requests and takes them back in one write. Submit and Abandon then run in one turn; Abandon's forget (proxy.go, pending == 0) deleted the request before the module had heard of it. The module decided on an attempt all the same, carryOut found no request for its Fetch and dropped it without an outcome, and the attempt stayed on its links for good.

Ruled out: memory and request bounds (nothing held, at most 81 requests open); refused connections (they come too, but the usual clients had theirs).

--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -114,6 +114,32 @@
 	receive(t, w.cache.stops, "STOP")
 }
 
+// Requests that are taken back in the turn they came in are not counted as under way at a cache for good: were
+// they, its link would look full, and those that come later would be refused.
+func TestTakenBackAtOnceIsForgotten(t *testing.T) {
+	w := prepare(t)
+	small := member("c1", "std", "edge", "SERVING", w.cache)
+	small["weight"] = 1
+	w.start(list(1, true, small, member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	c := w.dial()
+	together := &batch{Conn: c.Conn}
+	for id := range uint16(30) {
+		r := &client{Conn: together}
+		r.ask(id+1, "artes", longWait, int(id), "")
+		r.record(2, id+1, "")
+	}
+	together.flush()
+	for range 30 {
+		receive(t, c.answers, "END_REQUEST")
+	}
+	w.cache.serve("served", "-", "fine")
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
 // An answer that is none fails its attempt and drops the connection; the request moves on.
 func TestMalformedAnswerDropsTheConnection(t *testing.T) {
 	for _, bad := range []string{"hello\r\n", "*4\r\n$99999999\r\n", "still_good"} {
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -364,3 +364,19 @@
 	}
 	c.send(id, params, body)
 }
+
+// batch is a connection whose output goes out in one write.
+type batch struct {
+	net.Conn
+	out []byte
+}
+
+func (b *batch) Write(data []byte) (int, error) {
+	b.out = append(b.out, data...)
+	return len(data), nil
+}
+
+func (b *batch) flush() {
+	b.Conn.Write(b.out) //nolint:errcheck // a lost connection shows in the answers
+	b.out = nil
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -92,6 +92,7 @@
 	timer    *net.Timer
 	attempts []*attempt
 	pending  int
+	told     bool // the module has heard of it and its first actions have been carried out
 	finished bool // answered, or the client has left
 }
 
@@ -211,9 +212,20 @@
 		for _, a := range actions {
 			p.carryOut(a)
 		}
+		for _, ev := range events {
+			if ev, ok := ev.(policy.Request); ok {
+				p.heard(p.requests[ev.ID])
+			}
+		}
 	}
 }
 
+// heard notes that the module knows a request.
+func (p *Proxy) heard(q *request) {
+	q.told = true
+	p.forget(q)
+}
+
 func (p *Proxy) tell(ev policy.Event) { p.inbox = append(p.inbox, ev) }
 
 func (p *Proxy) carryOut(a policy.Action) {
@@ -295,9 +307,11 @@
 }
 
 // forget drops a request that is over. One whose attempts are still out keeps its timer, which ends them: a
-// silent cache would else keep them for good.
+// silent cache would else keep them for good. One that is taken back in the turn it came in stays until the
+// module has heard of it: the module decides on an attempt first, waits for its end, and would else count it as
+// under way for good, a link's place lost with each.
 func (p *Proxy) forget(q *request) {
-	if q.finished && q.pending == 0 && p.requests[q.number] == q {
+	if q.told && q.finished && q.pending == 0 && p.requests[q.number] == q {
 		p.loop.Stop(q.timer)
 		p.bodies -= len(q.Body)
 		delete(p.requests, q.number)
