Make room for new clients among silent and idle ones rather than close what comes

Cause: Front.accept returned nil at f.most, so Listener.take closed a connection that the machine had accepted, with whatever its client had written by then. Silent connections held theirs for idleAfter, 10 s, though clients close idle ones after 4 s.

Now Front.room closes one that has not sent a whole request for 250 ms, else the one longest idle over 1 s (a request that crosses that close is sent again), and the listener rests when none can be spared. Who owes its first request or the rest of one for 2 s is closed, an idle one after 5 s.

--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -247,6 +247,8 @@
 	t.Parallel()
 	w := newWorld(t)
 	idle, half, waiting := w.dial(), w.dial(), w.dial()
+	idle.send(1, map[string]string{"SCRIPT_NAME": "/alive"}, "")
+	receive(t, idle.answers, "answer")
 	half.record(1, 1, "\x00\x01\x01\x00\x00\x00\x00\x00")
 	waiting.ask(1, "artes", longWait, 1, "")
 	for _, c := range []*client{idle, half} {
@@ -483,26 +485,36 @@
 	}
 }
 
-// More connections than the descriptors allow are closed; those taken before go on.
-func TestConnectionsAreBounded(t *testing.T) {
+// Clients that connect and say nothing, or ask once and stay, keep out no other, whether it comes before or after
+// them, and end in a close.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	w.cache.serve("served", "-", "fine")
-	c := w.dial()
-	closed := make(chan answer, 1000)
-	for range 600 {
-		conn, err := net.Dial("tcp", w.addr)
-		if err != nil {
-			t.Fatal(err)
+	served := func(who string, c *client) {
+		t.Helper()
+		c.ask(1, "artes", longWait, 1, "")
+		if a := receive(t, c.answers, "answer"); a.body != "fine" {
+			t.Errorf("%s: %+v", who, a)
 		}
-		defer conn.Close()
-		go (&client{conn, closed}).read()
 	}
-	for range 600 - 409 {
-		receive(t, closed, "close of a connection beyond two fifths of the descriptors")
+	early := w.dial()
+	served("early", early)
+	var silent []*client
+	for range 600 { // two fifths of the descriptors are 409
+		silent = append(silent, w.dial())
 	}
-	c.ask(1, "artes", longWait, 1, "")
-	if a := receive(t, c.answers, "answer"); a.body != "fine" {
-		t.Errorf("%+v", a)
+	served("late", w.dial())
+	served("early", early)
+	half := w.dial()
+	half.record(1, 1, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	for _, c := range append(silent, half) {
+		if a := receive(t, c.answers, "close"); a.id != 0 {
+			t.Errorf("%+v", a)
+		}
+	}
+	for range 600 {
+		served("once", w.dial())
 	}
 }
 
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -94,6 +94,9 @@
 // Held is how many bytes of requests that have not come whole the decoder keeps.
 func (d *Decoder) Held() int { return d.held }
 
+// Receiving says whether a request has come in part.
+func (d *Decoder) Receiving() bool { return len(d.open) > 0 }
+
 // Busy says whether a request is being received or waits for its answer.
 func (d *Decoder) Busy() bool { return len(d.open)+len(d.answered) > 0 }
 
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -9,25 +9,27 @@
 	"golang.org/x/sys/unix"
 )
 
-// acceptPause is how long a listener rests when the process is out of descriptors: the connections that wait
-// would else wake the loop without end.
-const acceptPause = 50 * time.Millisecond
+// acceptPause is how long a listener rests when there is no room or the process is out of descriptors: the
+// connections that wait would else wake the loop without end.
+const acceptPause = 20 * time.Millisecond
 
 // Listener accepts connections.
 type Listener struct {
 	loop   *Loop
 	fd     int
+	room   func() bool
 	accept func(*Conn) Handler
 	closed bool
 }
 
-// Listen accepts connections on addr alone. accept gives each its handler, or nil to close it.
-func (l *Loop) Listen(addr netip.AddrPort, accept func(*Conn) Handler) (*Listener, error) {
+// Listen accepts connections on addr alone, as long as room finds room for one more; the others wait to be
+// accepted. accept gives each its handler.
+func (l *Loop) Listen(addr netip.AddrPort, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
 	fd, err := socket(addr)
 	if err != nil {
 		return nil, err
 	}
-	ln := &Listener{loop: l, fd: fd, accept: accept}
+	ln := &Listener{loop: l, fd: fd, room: room, accept: accept}
 	err = errors.Join(
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1),
 		unix.Bind(fd, sockaddr(addr)))
@@ -54,6 +56,10 @@
 
 func (ln *Listener) ready(uint32) {
 	for !ln.closed {
+		if !ln.room() {
+			ln.pause()
+			return
+		}
 		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOMEM):
@@ -82,10 +88,7 @@
 func (ln *Listener) take(fd int) {
 	l := ln.loop
 	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN, heard: l.now, wrote: l.now}
-	if c.handler = ln.accept(c); c.handler == nil {
-		unix.Close(fd) //nolint:errcheck // refused
-		return
-	}
+	c.handler = ln.accept(c)
 	err := errors.Join(
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -18,8 +18,15 @@
 	// stuckAfter is how long a client may take nothing of what it is owed before its connection is closed.
 	stuckAfter = 10 * time.Second
 	// idleAfter is when a connection that brings nothing and is owed nothing is closed. Clients close theirs
-	// after 4 s, so one that stays is that of a machine that vanished, and would keep its descriptor for good.
-	idleAfter = 10 * time.Second
+	// after 4 s, so one that stays would keep its descriptor for good.
+	idleAfter = 5 * time.Second
+	// wholeAfter is how long a client may take over its first request, or over the rest of one.
+	wholeAfter = 2 * time.Second
+	// spareAfter is when one that has not sent a whole request yet may have to make room for another: a client
+	// that means well asks as soon as it is connected, and would lose its request.
+	spareAfter = 250 * time.Millisecond
+	// restedAfter is the same for one that is owed nothing: those in steady use rest for less.
+	restedAfter = time.Second
 )
 
 var errFull = errors.New("memory for clients is used up")
@@ -41,7 +48,7 @@
 		f.classes[c.Name] = i
 	}
 	var err error
-	f.listener, err = p.loop.Listen(addr, f.accept)
+	f.listener, err = p.loop.Listen(addr, f.room, f.accept)
 	if err != nil {
 		return nil, err
 	}
@@ -50,17 +57,36 @@
 	return f, nil
 }
 
-func (f *Front) accept(c *net.Conn) net.Handler {
-	if len(f.conns) >= f.most {
-		return nil
+// room says whether one more client may connect. When they hold all descriptors that they may, the one that is
+// missed least has to go: one that has said nothing yet for a while, else the one longest idle, as a request
+// that crosses the close is sent again. The danger: clients that connect and say nothing, or ask once and
+// stay, keep out all others.
+func (f *Front) room() bool {
+	if len(f.conns) < f.most {
+		return true
+	}
+	var spare *clientConn
+	for c := range f.conns {
+		if c.spare() && (spare == nil || c.missedLess(spare)) {
+			spare = c
+		}
 	}
-	cc := &clientConn{front: f, conn: c, open: map[uint16]int64{}}
+	if spare == nil {
+		return false
+	}
+	spare.conn.Close()
+	spare.Closed(nil)
+	return true
+}
+
+func (f *Front) accept(c *net.Conn) net.Handler {
+	cc := &clientConn{front: f, conn: c, open: map[uint16]int64{}, owes: f.p.loop.Now()}
 	f.conns[cc] = true
 	return cc
 }
 
-// watch looks after connections now and then: those whose peer takes nothing or has vanished are closed, and
-// when the proxy is leaving all that are done with.
+// watch looks after connections now and then: those whose peer takes nothing, asks nothing or has vanished are
+// closed, and when the proxy is leaving all that are done with.
 func (f *Front) watch() {
 	if f.p.Leaving() {
 		f.listener.Close()
@@ -71,7 +97,7 @@
 		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
-		case len(c.open) == 0 && f.p.loop.Now()-c.conn.Heard() > idleAfter:
+		case len(c.open) == 0 && (c.owes != 0 && f.p.loop.Now()-c.owes > wholeAfter || c.idle() > idleAfter):
 			c.conn.CloseFlushed()
 		case f.p.Leaving():
 			c.closeIfDone()
@@ -91,12 +117,48 @@
 	open    map[uint16]int64 // the proxy's number of each open request
 	partial int              // bytes of requests that have not come whole
 	last    bool             // the client asked for no further request on it
+
+	asked    int       // requests that came whole
+	owes     net.Clock // since when the client owes its first request, or the rest of one; 0: it does not
+	answered net.Clock // when it last got an answer
+}
+
+// idle is how long nothing has come or gone.
+func (c *clientConn) idle() time.Duration {
+	return c.front.p.loop.Now() - max(c.conn.Heard(), c.answered)
+}
+
+// spare says whether a connection may be closed to make room for another.
+func (c *clientConn) spare() bool {
+	bytes, _ := c.conn.Backlog()
+	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() {
+		return false
+	}
+	if c.owes == 0 {
+		return c.idle() > restedAfter
+	}
+	return c.front.p.loop.Now()-c.owes > spareAfter
+}
+
+// missedLess compares spare connections.
+func (c *clientConn) missedLess(other *clientConn) bool {
+	if silent := c.asked == 0; silent != (other.asked == 0) {
+		return silent
+	}
+	return c.idle() > other.idle()
 }
 
 // Receive takes whole records off what has come in.
 func (c *clientConn) Receive(data []byte) (used int, err error) {
+	asked := c.asked
 	used, err = c.records(data)
 	c.count(c.decoder.Held())
+	switch unfinished := used < len(data) || c.decoder.Receiving(); {
+	case !unfinished && c.asked > 0:
+		c.owes = 0
+	case c.owes == 0 || c.asked > asked:
+		c.owes = c.front.p.loop.Now()
+	}
 	if err == nil && c.front.p.held() > 2*c.front.p.mostHeld {
 		err = errFull // unfinished requests can't be refused one by one
 	}
@@ -145,6 +207,7 @@
 }
 
 func (c *clientConn) request(r *fastcgi.Request) {
+	c.asked++
 	c.last = c.last || !r.KeepConn
 	to := &responder{conn: c, id: r.ID}
 	if r.Script == healthPath {
@@ -176,6 +239,7 @@
 // done writes the last bytes of a request and frees its number.
 func (c *clientConn) done(id uint16, data []byte) {
 	delete(c.open, id)
+	c.answered = c.front.p.loop.Now()
 	c.decoder.Done(id)
 	c.conn.Write(data)
 	c.closeIfLast()
