Give each call to a cache a connection of its own while connections are few

Cause: Pools.Get put up to 32 calls on one connection before it opened a second.

Now a call gets an unused or a new connection while fewer than a quarter of the descriptors are in use for caches, and the least used one beyond that.

--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// One spoilt answer costs one request: writes that are open at the same server have connections of their own.
+func TestSpoiltAnswerCostsOneRequest(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	var calls []*call
+	for id := range uint16(10) {
+		c.ask(id+1, "registro", longWait, int(id), "x")
+		calls = append(calls, receive(t, w.origin.calls, "call"))
+	}
+	fmt.Fprint(calls[0].conn, "noise\r\n")
+	if a := receive(t, c.answers, "answer"); a.id != 1 || a.status != "502" {
+		t.Errorf("spoilt: %+v", a)
+	}
+	for i, got := range calls[1:] {
+		got.answer("served", "-", "fine")
+		if a := receive(t, c.answers, "answer"); int(a.id) != i+2 || a.body != "fine" {
+			t.Errorf("request %d: %+v", i+2, a)
+		}
+	}
+}
+
 // A connection on which calls are out and nothing comes may be dead: new calls go to a new one.
 func TestQuietConnectionTakesNoNewCalls(t *testing.T) {
 	t.Parallel()
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -18,6 +18,7 @@
 type Limits struct {
 	Streams        int // uses that one connection carries together
 	Sockets        int // connections of all pools together
+	Apart          int // connections up to which each use gets one of its own
 	ConnectTimeout time.Duration
 	Idle           time.Duration // an unused connection is closed after this
 }
@@ -95,7 +96,8 @@
 }
 
 // Get returns a connection to the server for one more use: one that is up rather than one still connecting,
-// the least used first, and a new one when none fits.
+// the least used first, and a new one when none fits. While connections are few each use gets one of its own:
+// what spoils or ends a connection hits all uses that share it.
 func (ps *Pools) Get(id string, fits func(*Slot) bool) (*Slot, error) {
 	p := ps.byID[id]
 	if p == nil {
@@ -110,9 +112,12 @@
 			best = s
 		}
 	}
-	if best == nil {
-		var err error
-		if best, err = p.dial(); err != nil {
+	if best == nil || best.Load > 0 && ps.count < ps.limits.Apart {
+		fresh, err := p.dial()
+		switch {
+		case err == nil:
+			best = fresh
+		case best == nil:
 			return nil, err
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -106,6 +106,7 @@
 	p.pools = net.NewPools(loop, net.Limits{
 		Streams:        max(1, cfg.Settings.StreamsPerConn),
 		Sockets:        UpstreamSockets(cfg.Sockets),
+		Apart:          UpstreamSockets(cfg.Sockets) / 2,
 		ConnectTimeout: cmp.Or(cfg.Settings.ConnectTimeout, defaultConnect),
 		// Before the server closes it: a call that crosses the server's close would be lost.
 		Idle: cmp.Or(cfg.Settings.ConnIdle, defaultIdle) * 2 / 3,
