Leave a cache alone that fails what others answer, and give up what fails three times

Cause: Router.observeHealth took no note of an error, so a cache that fails everything at once looked free and drew requests on; Router.again went on to MaxAttempts.

Now a failure (error or broken connection) counts against its member once another has answered the same request; two in a row without a good answer between make it a suspect, which comes back as all do. A request that failed three times is given up: no member is blamed for it.

Ruled out: an error at the first sight as a sign of bad health, as bad clients' requests fail at every cache alike.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,8 @@
 	coldMargin = 0.9   // share of a cold member's budget that is used: routers do not all use theirs up
 	retryShare = 0.3   // further attempts for each request: retries must not feed an overload
 	retryBurst = 10.0
+	mostFailed = 3 // attempts that may fail: what no cache can use must not go round all of them
+	errorsDown = 2 // requests in a row failed by one member and answered by another
 
 	gatePause  = 100 * time.Millisecond // failures of one burst count once
 	useOver    = 5 * time.Second        // own transfers are averaged over this to guess the other routers'
@@ -86,6 +88,7 @@
 	charges []*attempt // what it was sent lately, kept while it is cold
 
 	doubts   int // health: suspicions in a row
+	errors   int // requests in a row that it failed and another answered
 	until    time.Duration
 	heard    time.Duration
 	answered time.Duration // when the last sent of its answered attempts was sent
@@ -158,6 +161,7 @@
 	miss           float64 // how likely a fill is
 	expected       float64 // sending time expected with hits and fills as likely as they are
 	pending        bool
+	failed         bool // it may have run, and brought no answer
 	gated          bool // may make the origin work
 	heldOnly       bool // the source gives only what it holds
 	hit            bool // the target is believed to hold it
@@ -344,7 +348,9 @@
 	a.leaveLanes(r.now)
 	if o.Result == ResultOK {
 		a.target.answered = max(a.target.answered, a.sent)
+		r.blame(q, a.target)
 	}
+	a.failed = o.Result == ResultError || o.Result == ResultReset
 	r.observeHealth(a, o)
 	r.observeOrigin(a, o)
 	r.observeCopy(a, o)
@@ -402,9 +408,22 @@
 	}
 }
 
+// blame holds a failure against its member once another has answered the same request: one that fails
+// everything at once looks free, and draws requests. What fails wherever it goes is the request's own fault,
+// and one failure says little.
+func (r *Router) blame(q *request, answered *member) {
+	for _, b := range q.attempts {
+		if b.failed && b.target != answered {
+			if b.target.errors++; b.target.errors >= errorsDown {
+				b.target.suspect(r.now)
+			}
+		}
+	}
+}
+
 // well takes a good answer: it ends a suspicion, and takes one doubt back of those it had.
 func (m *member) well(now time.Duration) {
-	m.doubts, m.until, m.heard = max(0, m.doubts-1), 0, now
+	m.doubts, m.until, m.heard, m.errors = max(0, m.doubts-1), 0, now, 0
 }
 
 func (m *member) suspect(now time.Duration) {
@@ -895,7 +914,13 @@
 		}
 	}
 	left := q.deadline - r.now - time.Duration(q.work*float64(time.Second))
-	spent := left <= 0 || len(q.attempts) >= cmp.Or(r.set.MaxAttempts, 2) || r.retries < 1
+	failed := 0
+	for _, b := range q.attempts {
+		if b.failed {
+			failed++
+		}
+	}
+	spent := left <= 0 || failed >= mostFailed || len(q.attempts) >= cmp.Or(r.set.MaxAttempts, 2) || r.retries < 1
 	if spent || !r.mayRepeat(q, a.target) {
 		r.finishUnserved(q)
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -274,6 +274,47 @@
 	}
 }
 
+// A cache that fails what others answer is left alone, and comes back by a good answer. A request that fails
+// wherever it goes is given up, and no cache is blamed for it.
+func TestErrorsAreBlamedOnceOthersAnswer(t *testing.T) {
+	g := newRig(t)
+	home := g.serve(1, "x", NoteFilled).Target
+	for id := int64(2); id < 4; id++ {
+		if f := fetchOf(g.request(id, "x", 0)); f.Target != home {
+			t.Fatalf("request %d goes to %s, not %s", id, f.Target, home)
+		}
+		f := fetchOf(g.do(Outcome{ID: id, Result: ResultError, Took: ms}))
+		if f == nil || f.Target == home {
+			t.Fatalf("after an error: %+v", f)
+		}
+		g.do(Outcome{ID: id, Attempt: 1, Result: ResultOK, Note: NoteFilled, Took: 150 * ms, Finished: true})
+	}
+	f := fetchOf(g.request(4, "x", 0))
+	if f.Target == home {
+		t.Fatalf("%s failed two requests that others answered, and gets a third", home)
+	}
+	g.do(Outcome{ID: 4, Result: ResultOK, Note: NoteHit, Took: 100 * ms, Finished: true})
+	g.n += suspectFor
+	g.serve(5, "x", NoteHit)
+	if !g.r.healthy(g.r.members[home]) {
+		t.Fatal("a good answer must bring it back")
+	}
+
+	g.request(6, "y", 0)
+	attempts, acts := 1, []Action(nil)
+	for ; finals(acts) == 0; attempts++ {
+		acts = g.do(Outcome{ID: 6, Attempt: attempts - 1, Result: ResultError, Took: ms})
+	}
+	if attempts-1 != mostFailed {
+		t.Errorf("%d attempts", attempts-1)
+	}
+	for id, m := range g.r.members {
+		if !g.r.healthy(m) {
+			t.Errorf("%s is blamed for a request that no cache can use", id)
+		}
+	}
+}
+
 // A refusing origin shuts the gate: further misses ask the parent only for what it holds.
 func TestOriginGateShuts(t *testing.T) {
 	g := newRig(t)
