--- a/policy/policy.go
+++ b/policy/policy.go
@@ -920,8 +920,8 @@
 			failed++
 		}
 	}
-	spent := left <= 0 || failed >= mostFailed || len(q.attempts) >= cmp.Or(r.set.MaxAttempts, 2) || r.retries < 1
-	if spent || !r.mayRepeat(q, a.target) {
+	spent := left <= 0 || len(q.attempts) >= cmp.Or(r.set.MaxAttempts, 2) || r.retries < 1
+	if spent || failed >= mostFailed || !r.mayRepeat(q, a.target) {
 		r.finishUnserved(q)
 		return
 	}
