Wait longer before an answer counts as lost: large objects were sent twice

Cause: Router.observeTimer takes an answer for lost when its time is up and others sent later have come. overdueBy was 2, and sizes are not told: an object of 2.5 times the mean, one in twenty, was asked for again, and the large ones make up most of the bytes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	useOver    = 5 * time.Second        // own transfers are averaged over this to guess the other routers'
 	clientWay  = 30 * time.Millisecond  // taken off the aim for the way to the client
 	overdue    = 200 * time.Millisecond // what an answer may take over its expected time
-	overdueBy  = 2.0                    // and this many times it
+	overdueBy  = 8.0                    // and this many times it: sizes are not told, and differ much
 	suspectFor = 500 * time.Millisecond // first suspicion; doubles with each further one
 	mostDoubts = 5
 	comeBack   = 300 * time.Millisecond // least advice to a refused client
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -637,6 +637,24 @@
 	}
 }
 
+// An object far larger than most is no lost answer, though smaller ones that were asked for later have come: it
+// would be sent twice, and fetched from afar twice, which no other request pays as much for.
+func TestLargeObjectIsNotTakenForLost(t *testing.T) {
+	g := newRig(t)
+	ask := func(id int64, object string) []Action {
+		return g.do(Request{ID: id, Object: object, Left: 6 * time.Second})
+	}
+	for id := range int64(20) {
+		ask(id+1, "small")
+		g.n += 100 * ms
+		g.do(Outcome{ID: id + 1, Result: ResultOK, Note: NoteHit, Took: 100 * ms, Finished: true})
+	}
+	due := ask(30, "large")[1].(StartTimer)
+	if due.In < 700*ms {
+		t.Errorf("one seven times as large as most is taken for lost after %v", due.In)
+	}
+}
+
 // A write whose answer is lost is not sent again, nor given up.
 func TestLostWriteIsLeft(t *testing.T) {
 	g := newRig(t)
