Learn sending times from the bytes of answers, and remember them for single parts

Cause: without told sizes observePace learned the class's sending time from hits on links held to be free. A proxy that has just started knows of no load, so slow answers made the objects look larger, the larger objects made the links look free, and the guard against crowded links let everything in.

Now the proxy tells the module how long an answer's bytes take at flow_bytes_per_s (checked in a log of answers: 22,034 bytes at 98,000 a second took 234 ms with 8 ms of waiting). It is remembered for the part, so that aim, admission and patience of the next request for it are right, and a link learns from what was really sent.

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -32,6 +32,7 @@
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
 	Coordinator string          `json:"coordinator"`
+	Flow        float64         `json:"flow_bytes_per_s"` // of one transfer
 	Known       feed.Known      `json:"known"`
 	Settings    json.RawMessage `json:"settings"`
 
@@ -155,6 +156,6 @@
 		return errors.New("settings: no classes")
 	}
 	c.proxy = proxy.Config{Settings: set, Seed: seed, Known: c.Known, Sockets: c.Limits.Sockets,
-		Memory: c.Limits.MemoryMB << 20}
+		Memory: c.Limits.MemoryMB << 20, Flow: c.Flow}
 	return nil
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -112,6 +112,14 @@
 		}
 	}
 	p.tell(policy.Outcome{ID: a.req.number, Attempt: a.number, Result: result, Note: policy.Note(ans.Note),
-		Took: p.loop.Now() - a.created, SourceWait: ans.SourceWait, Finished: a.req.finished})
+		Took: p.loop.Now() - a.created, SourceWait: ans.SourceWait, Sending: p.sending(ans), Finished: a.req.finished})
 	p.forget(a.req)
 }
+
+// sending is how long an answer's bytes take at the pace of one transfer.
+func (p *Proxy) sending(ans resp.Answer) time.Duration {
+	if p.flow <= 0 {
+		return 0
+	}
+	return time.Duration(float64(len(ans.Body)) / p.flow * float64(time.Second))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,8 +48,9 @@
 	Settings settings.Settings
 	Seed     uint64
 	Known    feed.Known
-	Sockets  int // descriptors that the process may hold
-	Memory   int // bytes that the process may use
+	Sockets  int     // descriptors that the process may hold
+	Memory   int     // bytes that the process may use
+	Flow     float64 // bytes a second of one transfer; 0: not told
 }
 
 // Proxy is one edge proxy. Everything in it runs on the loop's goroutine.
@@ -57,6 +58,7 @@
 	loop   *net.Loop
 	router *policy.Router
 	set    settings.Settings
+	flow   float64 // bytes a second of one transfer; 0: not told
 	log    *log.Logger
 	phase  Phase
 
@@ -99,7 +101,7 @@
 // New returns a proxy that knows what the configuration knows.
 func New(loop *net.Loop, cfg Config, logger *log.Logger) *Proxy {
 	p := &Proxy{
-		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), set: cfg.Settings, log: logger,
+		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), set: cfg.Settings, flow: cfg.Flow, log: logger,
 		requests: map[int64]*request{}, servers: map[string]int64{},
 		mostOpen: min(mostOpen, cmp.Or(cfg.Settings.MaxOpen, mostOpen)), mostHeld: cfg.Memory / 4,
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -69,7 +69,8 @@
 	open    map[int64]*request
 	objects map[string]time.Duration // moments of purges still remembered
 	groups  map[int]time.Duration
-	work    []mean // sending time of each class, seconds
+	work    []mean                          // sending time of each class, seconds
+	sizes   *simplelru.LRU[uint64, float64] // and of single parts, as answers showed it
 
 	meanWork, meanWorth     mean    // of all requests
 	miss                    mean    // share of fills among what caches were not believed to hold
@@ -169,8 +170,9 @@
 
 // New returns a router that knows nothing but its settings.
 func New(set Settings, seed uint64) *Router {
+	sizes, _ := simplelru.NewLRU[uint64, float64](beliefCount, nil)
 	return &Router{
-		set: set, rng: rand.New(rand.NewPCG(seed, 0)), members: map[string]*member{},
+		set: set, sizes: sizes, rng: rand.New(rand.NewPCG(seed, 0)), members: map[string]*member{},
 		open: map[int64]*request{}, objects: map[string]time.Duration{}, groups: map[int]time.Duration{},
 		gate: gate{size: gateMost}, link: lane{start: 1, cap: 1}, retries: retryBurst,
 		work: make([]mean, len(set.Classes)),
@@ -322,7 +324,8 @@
 	}
 	q := &request{Request: told, class: &r.set.Classes[told.Class], avoid: map[*member]bool{}}
 	q.key = mix(xxhash.Sum64String(told.Object) + uint64(told.Part)*0x9e3779b97f4a7c15)
-	q.work = cmp.Or(r.work[told.Class].value, q.class.Aim.Seconds()/4) // sizes are not told
+	size, _ := r.sizes.Get(q.key)
+	q.work = cmp.Or(size, r.work[told.Class].value, q.class.Aim.Seconds()/4)
 	if told.SizeKB > 0 && r.set.FlowKBps > 0 {
 		q.work = told.SizeKB / r.set.FlowKBps
 		r.work[told.Class].add(q.work, meanCount)
@@ -355,6 +358,7 @@
 	r.observeOrigin(a, o)
 	r.observeCopy(a, o)
 	r.observePace(a, o)
+	r.observeSize(a, o)
 	if q.mayRun == a && provenUnrun(o.Result) {
 		q.mayRun = nil
 	}
@@ -515,15 +519,11 @@
 		l, expected = a.slowest, a.fillTakes
 	}
 	took, work := (o.Took - o.SourceWait).Seconds(), a.req.work
-	if a.req.SizeKB == 0 {
-		// A size that is not told is learned from hits on free links. The danger: a large object on a free
-		// link looks like a full link, and small requests are refused more and more.
-		if hit && a.takes < stretched*work {
-			r.work[a.req.Class].add(took, meanCount)
-		}
-		if expected < stretched*work && took < unusual*work {
-			return
-		}
+	if o.Sending > 0 {
+		work = o.Sending.Seconds()
+		expected *= work / a.req.work
+	} else if a.req.SizeKB == 0 && expected < stretched*work && took < unusual*work {
+		return
 	}
 	took = math.Max(took, work)
 	if math.Max(took, expected) >= stretched*work {
@@ -531,6 +531,24 @@
 	}
 }
 
+// observeSize learns how long a part takes to send. Where its bytes are not told, an answer over free links
+// shows it. The danger: a large object on a free link looks like a full link, and small requests are refused
+// more and more.
+func (r *Router) observeSize(a *attempt, o Outcome) {
+	q, work := a.req, o.Sending.Seconds()
+	if o.Result != ResultOK || q.SizeKB > 0 || q.class.PassOn {
+		return
+	}
+	if work == 0 {
+		if o.Note != NoteHit && o.Note != NoteStale || a.takes >= stretched*q.work {
+			return
+		}
+		work = o.Took.Seconds()
+	}
+	r.work[q.Class].add(work, meanCount)
+	r.sizes.Add(q.key, work)
+}
+
 func (l *lane) learn(better float64) {
 	l.cap *= math.Pow(min(max(better, 0.5), 2), capSmooth)
 	l.cap = min(max(l.cap, l.start/capRange), l.start*capRange)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -758,6 +758,29 @@
 	}
 }
 
+// The bytes of an answer tell what a part takes to send, and are remembered: slow answers make neither the part
+// nor its class look larger, which would make a crowded link look free.
+func TestSizesAreRememberedByPart(t *testing.T) {
+	g := newRig(t)
+	for id := range int64(20) {
+		object, sending := "small", 50*ms
+		if id%2 == 1 {
+			object, sending = "large", 750*ms
+		}
+		g.do(Request{ID: id + 1, Object: object, Left: 6 * time.Second})
+		g.n += 2 * time.Second
+		g.do(Outcome{ID: id + 1, Result: ResultOK, Note: NoteHit, Took: 2 * time.Second, Sending: sending, Finished: true})
+	}
+	for object, want := range map[string]float64{"small": 0.05, "large": 0.75, "unknown": 0.4} {
+		g.do(Request{ID: 99, Object: object, Left: 6 * time.Second})
+		if got := g.r.open[99].work; math.Abs(got-want) > 0.01 {
+			t.Errorf("%s is expected to take %v s, want %v", object, got, want)
+		}
+		g.do(ClientGone{ID: 99})
+		g.do(Outcome{ID: 99, Result: ResultCancelled})
+	}
+}
+
 // Where sizes are not told, the sending time is learned from hits on free links, and a large object on a free
 // link must not pass for a full link: small requests would be refused more and more.
 func TestUntoldSizesAreLearned(t *testing.T) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -168,6 +168,7 @@
 	Note       Note
 	Took       time.Duration
 	SourceWait time.Duration // until the source's first byte
+	Sending    time.Duration // what the answer's bytes take at the pace of one transfer; 0: not told
 	Finished   bool          // the request is finished
 }
 
