Stop using connections that were idle for longer than the servers bear

Logged by how long a connection had been idle when its call began: under 100 ms 0 to 0.3 % of the calls are reset at once, from 100 ms on 29 to 47 %, at every server, though the settings say that idle connections live for 15 s. A reset read is sent again; a reset write is lost, and writes are rare enough that their connection to the origin has nearly always been idle for longer.

Cause: Pools.Get used any idle connection, the oldest first, and CloseIdle went by the settings alone.

Now net.risks learns the share of calls lost at once by idle time, in doublings from 20 ms on. From the place on at which two in half a dozen were lost, connections are closed instead of used; what was learned fades, so that it is tried again after some seconds. Of idle connections the last used goes first. A call that can't be repeated takes a new connection when those were lost less often.

--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -183,6 +183,36 @@
 	}
 }
 
+// Servers may close connections that were idle for a while without a word, and the next call finds out. After a
+// few of those such connections are left alone, above all by writes, which can't be sent again.
+func TestIdleConnectionsThatDieAreNotUsed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	c, used, id := w.dial(), map[net.Conn]bool{}, uint16(0)
+	go func() {
+		for got := range w.origin.calls {
+			if used[got.conn] {
+				got.conn.Close()
+				continue
+			}
+			used[got.conn] = true
+			got.answer("served", "-", "fine")
+		}
+	}()
+	in := 0
+	w.eventually("five writes in a row that were answered", func() bool {
+		time.Sleep(100 * time.Millisecond)
+		id++
+		c.ask(id, "registro", longWait, 1, "x")
+		if receive(t, c.answers, "answer").body == "fine" {
+			in++
+		} else {
+			in = 0
+		}
+		return in == 5
+	})
+}
+
 // A connection on which calls are out and nothing comes may be dead: new calls go to a new one.
 func TestQuietConnectionTakesNoNewCalls(t *testing.T) {
 	t.Parallel()
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"net/netip"
 	"slices"
 	"time"
@@ -31,6 +32,7 @@
 	open   func(*Slot) Handler
 	byID   map[string]*Pool
 	count  int // open connections
+	risks  risks
 }
 
 // Pool is the connections to one server.
@@ -48,6 +50,9 @@
 	Load  int  // uses under way
 	Stale bool // takes no new use; closed when the last one is over
 	used  Clock
+
+	trial int   // how long it had been idle when its last use began, as a place in risks; -1: known by now
+	begun Clock // when that was
 }
 
 // NewPools returns pools without servers. open makes the handler of each new connection; the handler calls
@@ -96,23 +101,25 @@
 }
 
 // Get returns a connection to the server for one more use: one that is up rather than one still connecting,
-// the least used first, and a new one when none fits. While connections are few each use gets one of its own:
-// what spoils or ends a connection hits all uses that share it.
-func (ps *Pools) Get(id string, fits func(*Slot) bool) (*Slot, error) {
+// the least used first, of unused ones the last used, and a new one when none fits. While connections are few
+// each use gets one of its own: what spoils or ends a connection hits all uses that share it. A careful use,
+// which can't be repeated, takes a new one if those lately were lost less often.
+func (ps *Pools) Get(id string, careful bool, fits func(*Slot) bool) (*Slot, error) {
 	p := ps.byID[id]
 	if p == nil {
 		return nil, ErrRetired
 	}
 	var best *Slot
-	for _, s := range p.slots {
-		if s.Stale || s.Ended() || s.Load >= ps.limits.Streams || !fits(s) {
+	for _, s := range slices.Clone(p.slots) {
+		if s.retireIdle(); s.Stale || s.Ended() || s.Load >= ps.limits.Streams || !fits(s) {
 			continue
 		}
-		if best == nil || s.Up() && !best.Up() || s.Up() == best.Up() && s.Load < best.Load {
+		if best == nil || s.before(best) {
 			best = s
 		}
 	}
-	if best == nil || best.Load > 0 && ps.count < ps.limits.Apart {
+	worse := best != nil && careful && best.Load == 0 && ps.risks[best.idle()] > ps.risks[0]
+	if best == nil || (best.Load > 0 || worse) && ps.count < ps.limits.Apart {
 		fresh, err := p.dial()
 		switch {
 		case err == nil:
@@ -121,16 +128,29 @@
 			return nil, err
 		}
 	}
-	best.Load++
+	if best.Load++; best.Load == 1 {
+		best.trial, best.begun = best.idle(), ps.loop.now
+	}
 	return best, nil
 }
 
+// before says whether s is better than other for a new use.
+func (s *Slot) before(other *Slot) bool {
+	switch {
+	case s.Up() != other.Up():
+		return s.Up()
+	case s.Load != other.Load:
+		return s.Load < other.Load
+	}
+	return s.used > other.used
+}
+
 func (p *Pool) dial() (*Slot, error) {
 	ps := p.pools
 	if ps.count >= ps.limits.Sockets {
 		return nil, fmt.Errorf("%s: %w", p.addr, ErrNoSocket)
 	}
-	s := &Slot{pool: p, used: ps.loop.now}
+	s := &Slot{pool: p}
 	s.Owner = ps.open(s)
 	conn, err := ps.loop.Dial(p.addr, ps.limits.ConnectTimeout, s.Owner)
 	if err != nil {
@@ -142,10 +162,37 @@
 	return s, nil
 }
 
+// idle is the place in risks for how long a connection without uses has been idle; 0: it is new.
+func (s *Slot) idle() int {
+	if s.used == 0 {
+		return 0
+	}
+	return 1 + min(bits.Len64(uint64((s.pool.pools.loop.now-s.used)/idleStep)), len(s.pool.pools.risks)-2)
+}
+
+// retireIdle closes a connection that has been idle for so long that its next use would be at risk.
+func (s *Slot) retireIdle() {
+	if s.Load == 0 && s.Up() && s.pool.pools.risks.after(s.idle()) > mostRisk {
+		s.Stale = true
+		s.closeUnused()
+	}
+}
+
+// Answered notes that the connection has brought something since its last use began: it was alive.
+func (s *Slot) Answered() {
+	if s.trial >= 0 {
+		s.pool.pools.risks.count(s.trial, false)
+		s.trial = -1
+	}
+}
+
 // Release ends one use.
 func (s *Slot) Release() {
 	s.Load--
 	s.used = s.pool.pools.loop.now
+	if s.Load == 0 && !s.Ended() {
+		s.trial = -1 // given up: it tells nothing
+	}
 	s.closeUnused()
 }
 
@@ -156,22 +203,27 @@
 	}
 }
 
-// Drop takes an ended connection out of its pool.
+// Drop takes an ended connection out of its pool. One that ended as soon as it was used had ended before.
 func (s *Slot) Drop() {
+	if s.Up() && s.Load > 0 && s.trial >= 0 && s.pool.pools.loop.now-s.begun < atOnce {
+		s.pool.pools.risks.count(s.trial, true)
+	}
 	before := len(s.pool.slots)
 	s.pool.slots = slices.DeleteFunc(s.pool.slots, func(other *Slot) bool { return other == s })
 	s.pool.pools.count -= before - len(s.pool.slots)
 }
 
 // CloseIdle closes what has not been used for the idle time: before the server does, as a use that crosses
-// the server's close would be lost.
+// the server's close would be lost. It also lets what was learned of losses fade, so that it is tried again.
 func (ps *Pools) CloseIdle() {
 	for _, p := range ps.byID {
 		for _, s := range slices.Clone(p.slots) {
-			if s.Load == 0 && ps.loop.now-s.used >= ps.limits.Idle {
+			if s.Load == 0 && s.used > 0 && ps.loop.now-s.used >= ps.limits.Idle {
 				s.Stale = true
 				s.closeUnused()
 			}
+			s.retireIdle()
 		}
 	}
+	ps.risks.fade()
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -31,7 +31,8 @@
 		p.end(a, resp.Answer{}, policy.ResultMoot)
 		return
 	}
-	slot, err := p.pools.Get(f.Target, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(q) })
+	careful := p.set.Policy.Classes[q.Class].Effect != policy.Safe
+	slot, err := p.pools.Get(f.Target, careful, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(q) })
 	if err != nil {
 		p.end(a, resp.Answer{}, policy.ResultConnectFailed)
 		return
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -56,6 +56,7 @@
 
 // Receive takes whole answers off what has come in.
 func (u *upstream) Receive(data []byte) (used int, err error) {
+	u.slot.Answered()
 	defer u.heard()
 	for {
 		n, ans, err := resp.Decode(data[used:])
