Ask the same cache again after one error, where the copy is

Cause: Router.again passed a cache over after its first error, so that the repeat went to a cache that lacks the object and had to be filled, and two such errors with no good answer between left the cache alone altogether.

Now one error is treated as one broken connection is: the same cache is asked again, and a member is blamed once for a request that failed there twice and was answered elsewhere. A cache that fails everything is still found by two requests (test), a request that fails everywhere still ends after three attempts.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -416,11 +416,12 @@
 // everything at once looks free, and draws requests. What fails wherever it goes is the request's own fault,
 // and one failure says little.
 func (r *Router) blame(q *request, answered *member) {
-	for _, b := range q.attempts {
-		if b.failed && b.target != answered {
-			if b.target.errors++; b.target.errors >= errorsDown {
-				b.target.suspect(r.now)
-			}
+	for i, b := range q.attempts {
+		if !b.failed || b.target == answered || i > 0 && b.target == q.attempts[i-1].target {
+			continue
+		}
+		if b.target.errors++; b.target.errors >= errorsDown {
+			b.target.suspect(r.now)
 		}
 	}
 }
@@ -925,9 +926,8 @@
 	if o.Note != NoteSourceLacks {
 		if o.Note == NoteSourceFailed || o.Note == NoteSourceRefused || o.Note == NoteOriginFailed {
 			q.avoid[a.source] = true
-		} else if broken := o.Result == ResultReset || o.Result == ResultCancelled; !broken || a.number > 0 ||
-			!r.healthy(a.target) {
-			// One broken connection or lost answer is no death: the copy is still there.
+		} else if (!a.failed && o.Result != ResultCancelled) || a.number > 0 || !r.healthy(a.target) {
+			// One error, broken connection or lost answer is no death: the copy is still there.
 			q.avoid[a.target] = true
 		}
 	}
