Learn how slow single members are, apart from how full their links are

Logged by cache and note: from 7.5 to 15.5 s every fill through one parent lasted 4.2 times as long as its bytes take, those through the other one sending time, hits too. Up to 43 of 120 requests a second were refused at a proxy as hopeless, filled from the slow parent, none sent to the other.

Cause: a lane knows only how full it is. A slow parent with few transfers under way looked free; observePace put the delay on the slowest lane of the way, which with equal times is the office's link, and hopeless refused what the link was held to make late.

Now a lane also has a drag: an answer over links that were not held to be full, of known size and 1.5 or more sending times, says that its source (of a hit, its target) is slow. It is forgotten in seconds, so that the member is tried again, and a slow member is passed over where a full one is. hopeless asks for a full link: a slow member that has room makes no others late. A cold member's charges are dropped once they are too old to count, and all when it is warm.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,10 @@
 	passedUp     = 0.33 // share of what caches carry that is filled from above: two of three are hits
 	capSmooth    = 0.1  // how fast a link's share follows its answers
 	capRange     = 4.0  // a link's share stays within this factor of where it started
+	dragSmooth   = 0.3  // how fast a member's slowness follows its answers
+	dragMost     = 10.0
+	dragLeast    = 0.5  // less than this is no slowness
+	dragWork     = 0.02 // seconds of sending under which an answer's time says nothing of it
 	stretched    = 1.2  // an answer slower than this many sending times says something of a link
 	unusual      = 3.0  // objects more times as large as the mean are few; such an answer was slowed
 	roomShare    = 0.7  // share of the time to the aim that a link may take before its member is passed over
@@ -44,6 +48,7 @@
 	mostFailed = 3 // attempts that may fail: what no cache can use must not go round all of them
 	errorsDown = 2 // requests in a row failed by one member and answered by another
 
+	dragFor    = 5 * time.Second        // slowness is forgotten in this time, so that it is tried again
 	gatePause  = 100 * time.Millisecond // failures of one burst count once
 	useOver    = 5 * time.Second        // own transfers are averaged over this to guess the other routers'
 	clientWay  = 30 * time.Millisecond  // taken off the aim for the way to the client
@@ -123,6 +128,8 @@
 	under      []*attempt
 	mean       float64
 	moved      time.Duration // when mean was last brought up to date
+	drag       float64       // sending times by which transfers lasted longer than a full link explains
+	dragged    time.Duration // when that was learned
 }
 
 // gate bounds the attempts under way that may make the origin work: failures shut it by a share, answers open
@@ -141,10 +148,12 @@
 	class    *Class
 	key      uint64
 	work     float64 // sending time of one transfer, seconds
+	sized    bool    // it is known; else it is the mean of the class
 	aim      time.Duration
 	deadline time.Duration
 	attempts []*attempt
 	pending  int
+	failed   int      // attempts
 	mayRun   *attempt // the first attempt that is not proven not to have run
 	finished bool
 	avoid    map[*member]bool // lacks it, failed or kept silent
@@ -157,10 +166,10 @@
 	lanes          []*lane
 	sent           time.Duration
 	takes          float64 // sending time expected of the target's link, seconds
-	fillTakes      float64 // and of the slowest link that a fill would pass
+	expected       float64 // and of the slowest link of the way, if it has to be filled
 	slowest        *lane   // that link
+	crowded        bool    // a link of the way was held to be
 	miss           float64 // how likely a fill is
-	expected       float64 // sending time expected with hits and fills as likely as they are
 	pending        bool
 	failed         bool // it may have run, and brought no answer
 	gated          bool // may make the origin work
@@ -233,7 +242,7 @@
 		}
 		if m.beliefs == nil || m.Started != told.Started || told.State == Gone { // empty: no belief holds
 			m.beliefs, _ = simplelru.NewLRU[uint64, belief](beliefCount, nil)
-			m.rho, m.doubts, m.until, m.charges = ratio{}, 0, 0, nil
+			m.rho, m.doubts, m.until, m.charges, m.lane.drag = ratio{}, 0, 0, nil, 0
 		}
 		m.Member = told
 	}
@@ -324,7 +333,8 @@
 	}
 	q := &request{Request: told, class: &r.set.Classes[told.Class], avoid: map[*member]bool{}}
 	q.key = mix(xxhash.Sum64String(told.Object) + uint64(told.Part)*0x9e3779b97f4a7c15)
-	size, _ := r.sizes.Get(q.key)
+	size, sized := r.sizes.Get(q.key)
+	q.sized = sized || told.SizeKB > 0
 	q.work = cmp.Or(size, r.work[told.Class].value, q.class.Aim.Seconds()/4)
 	if told.SizeKB > 0 && r.set.FlowKBps > 0 {
 		q.work = told.SizeKB / r.set.FlowKBps
@@ -353,7 +363,9 @@
 		a.target.answered = max(a.target.answered, a.sent)
 		r.blame(q, a.target)
 	}
-	a.failed = o.Result == ResultError || o.Result == ResultReset
+	if a.failed = o.Result == ResultError || o.Result == ResultReset; a.failed {
+		q.failed++
+	}
 	r.observeHealth(a, o)
 	r.observeOrigin(a, o)
 	r.observeCopy(a, o)
@@ -369,6 +381,9 @@
 	}
 }
 
+// hit says that the answer came from a copy that was there.
+func (o Outcome) hit() bool { return o.Note == NoteHit || o.Note == NoteStale }
+
 func provenUnrun(res Result) bool {
 	return res == ResultFull || res == ResultConnectFailed || res == ResultMoot || res == ResultMiss
 }
@@ -443,7 +458,7 @@
 func (r *Router) observeCopy(a *attempt, o Outcome) {
 	q, sibling := a.req, a.source != a.target && r.isCache(a.source)
 	if o.Result == ResultOK && o.Note != NoteNone && r.isCache(a.target) && !q.class.PassOn {
-		r.believe(a.target, q, o.Note != NoteHit && o.Note != NoteStale)
+		r.believe(a.target, q, !o.hit())
 	}
 	filled := o.Result == ResultOK && (o.Note == NoteFilled || o.Note == NoteFilledByOrigin)
 	if sibling && (filled || o.Note == NoteSourceLacks) {
@@ -511,23 +526,30 @@
 	if o.Result != ResultOK || o.Note == NoteJoined {
 		return
 	}
-	hit := o.Note == NoteHit || o.Note == NoteStale
+	hit := o.hit()
 	if !a.hit && o.Note != NoteNone && r.isCache(a.target) {
 		r.miss.add(map[bool]float64{false: 1}[hit], waitCount)
 	}
-	l, expected := &a.target.lane, a.takes
-	if a.slowest != nil && !hit && a.fillTakes > a.takes {
-		l, expected = a.slowest, a.fillTakes
+	l, expected := a.slowest, a.expected
+	if hit {
+		l, expected = &a.target.lane, a.takes
 	}
 	took, work := (o.Took - o.SourceWait).Seconds(), a.req.work
 	if o.Sending > 0 {
 		work = o.Sending.Seconds()
 		expected *= work / a.req.work
-	} else if a.req.SizeKB == 0 && expected < stretched*work && took < unusual*work {
+	} else if !a.req.sized && expected < stretched*work && took < unusual*work {
 		return
 	}
 	took = math.Max(took, work)
-	if math.Max(took, expected) >= stretched*work {
+	if !a.crowded && (o.Sending > 0 || a.req.sized) {
+		if !hit {
+			l = &a.source.lane
+		}
+		if work >= dragWork {
+			l.learnDrag(r.now, took/work)
+		}
+	} else if math.Max(took, expected) >= stretched*work {
 		l.learn(math.Max(expected, work) / took)
 	}
 }
@@ -537,17 +559,13 @@
 // more and more.
 func (r *Router) observeSize(a *attempt, o Outcome) {
 	q, work := a.req, o.Sending.Seconds()
-	if o.Result != ResultOK || q.SizeKB > 0 || q.class.PassOn {
-		return
-	}
-	if work == 0 {
-		if o.Note != NoteHit && o.Note != NoteStale || a.takes >= stretched*q.work {
-			return
-		}
+	if work == 0 && o.hit() && a.takes < stretched*q.work {
 		work = o.Took.Seconds()
 	}
-	r.work[q.Class].add(work, meanCount)
-	r.sizes.Add(q.key, work)
+	if work > 0 && o.Result == ResultOK && q.SizeKB == 0 && !q.class.PassOn {
+		r.work[q.Class].add(work, meanCount)
+		r.sizes.Add(q.key, work)
+	}
 }
 
 func (l *lane) learn(better float64) {
@@ -555,13 +573,34 @@
 	l.cap = min(max(l.cap, l.start/capRange), l.start*capRange)
 }
 
-// takes returns the seconds in which the lane carries work more, shared with what is under way.
-func (l *lane) takes(now time.Duration, work, warm float64) float64 {
+// fullness is how many sending times work more takes, shared with what is under way.
+func (l *lane) fullness(now time.Duration, work, warm float64) float64 {
 	sum := 1 + (l.routers-1)*l.use(now)
 	for _, a := range l.under {
 		sum += min(a.req.work/work, 1) * a.share(l)
 	}
-	return work * math.Max(1, sum/max(l.cap*warm, 1e-6))
+	return math.Max(1, sum/max(l.cap*warm, 1e-6))
+}
+
+// takes returns the seconds in which the lane carries work more.
+func (l *lane) takes(now time.Duration, work, warm float64) float64 {
+	takes := work * l.fullness(now, work, warm)
+	if slow := l.slowness(now); slow >= dragLeast {
+		takes *= 1 + slow
+	}
+	return takes
+}
+
+// slowness is the drag as it is held to be now.
+func (l *lane) slowness(now time.Duration) float64 {
+	return l.drag * math.Exp(-(now-l.dragged).Seconds()/dragFor.Seconds())
+}
+
+// learnDrag takes the pace of an answer that no full link explains. The danger: a slow parent with few transfers
+// under way looks like a free one, and the link behind it like a full one.
+func (l *lane) learnDrag(now time.Duration, times float64) {
+	was := l.slowness(now)
+	l.drag, l.dragged = was+dragSmooth*(min(max(times, 1), dragMost)-1-was), now
 }
 
 // share is the part of an attempt's work that a link is expected to carry: most that could fill are hits.
@@ -628,15 +667,15 @@
 func (r *Router) withinColdBudget(m *member, q *request) bool {
 	warm := r.warmth(m)
 	if warm >= 1 {
+		m.charges = nil
 		return true
 	}
 	_, _, multiple := r.coldFigures(m)
 	window := max(r.set.FallWindow, time.Second)
 	sum := r.charge(q)
+	m.charges = slices.DeleteFunc(m.charges, func(c *attempt) bool { return r.now-c.sent > window })
 	for _, c := range m.charges {
-		if r.now-c.sent <= window {
-			sum += r.charge(c.req)
-		}
+		sum += r.charge(c.req)
 	}
 	return sum <= coldMargin*multiple*warm*min(m.lane.cap, m.lane.start)/m.lane.routers*window.Seconds()
 }
@@ -828,7 +867,8 @@
 	q := a.req
 	a.lanes = []*lane{&a.target.lane}
 	a.takes = a.target.lane.takes(r.now, q.work, r.warmth(a.target))
-	a.expected, a.hit = a.takes, r.isCache(a.target) && r.believes(a.target, q)
+	a.crowded = a.target.lane.fullness(r.now, q.work, r.warmth(a.target)) >= stretched
+	a.expected, a.slowest, a.hit = a.takes, &a.target.lane, r.isCache(a.target) && r.believes(a.target, q)
 	if q.class.PassOn || a.hit {
 		return 0
 	}
@@ -838,8 +878,9 @@
 	}
 	use := func(l *lane, warm float64) {
 		a.lanes = append(a.lanes, l)
-		if takes := l.takes(r.now, q.work, warm); takes > a.fillTakes {
-			a.slowest, a.fillTakes = l, takes
+		a.crowded = a.crowded || l.fullness(r.now, q.work, warm) >= stretched
+		if takes := l.takes(r.now, q.work, warm); takes > a.expected {
+			a.slowest, a.expected = l, takes
 		}
 	}
 	if !r.isCache(a.target) || !r.isCache(a.source) {
@@ -852,16 +893,16 @@
 			wait = r.parentWait.value
 		}
 	}
-	a.expected = math.Max(a.takes, a.fillTakes)
 	return wait
 }
 
 // hopeless says that a full link makes q late whatever is done, so that sending it would only make others
-// late too. Long requests meet this first: their worth per sending time is the least.
+// late too; a slow member that has room does not. Long requests meet this first: their worth per sending time
+// is the least.
 func (r *Router) hopeless(q *request, a *attempt, wait float64) bool {
 	cheap := q.class.Worth / q.work / (r.meanWorth.value / r.meanWork.value)
 	share := min(1, math.Pow(cheap, min(1, (a.expected/q.work-1)/(fullPressure-1))))
-	return r.mayRefuse(q) && a.expected > stretched*q.work && wait+a.expected > share*(q.aim-r.now).Seconds()
+	return r.mayRefuse(q) && a.crowded && a.expected > stretched*q.work && wait+a.expected > share*(q.aim-r.now).Seconds()
 }
 
 func (r *Router) fetch(q *request, a *attempt) Fetch {
@@ -932,14 +973,8 @@
 		}
 	}
 	left := q.deadline - r.now - time.Duration(q.work*float64(time.Second))
-	failed := 0
-	for _, b := range q.attempts {
-		if b.failed {
-			failed++
-		}
-	}
 	spent := left <= 0 || len(q.attempts) >= cmp.Or(r.set.MaxAttempts, 2) || r.retries < 1
-	if spent || failed >= mostFailed || !r.mayRepeat(q, a.target) {
+	if spent || q.failed >= mostFailed || !r.mayRepeat(q, a.target) {
 		r.finishUnserved(q)
 		return
 	}
