--- a/policy/policy.go
+++ b/policy/policy.go
@@ -902,7 +902,8 @@
 func (r *Router) hopeless(q *request, a *attempt, wait float64) bool {
 	cheap := q.class.Worth / q.work / (r.meanWorth.value / r.meanWork.value)
 	share := min(1, math.Pow(cheap, min(1, (a.expected/q.work-1)/(fullPressure-1))))
-	return r.mayRefuse(q) && a.crowded && a.expected > stretched*q.work && wait+a.expected > share*(q.aim-r.now).Seconds()
+	full := a.crowded && a.expected > stretched*q.work
+	return r.mayRefuse(q) && full && wait+a.expected > share*(q.aim-r.now).Seconds()
 }
 
 func (r *Router) fetch(q *request, a *attempt) Fetch {
