--- a/policy/policy.go
+++ b/policy/policy.go
@@ -596,8 +596,8 @@
 	return l.drag * math.Exp(-(now-l.dragged).Seconds()/dragFor.Seconds())
 }
 
-// learnDrag takes the pace of an answer that no full link explains. The danger: a slow parent with few transfers
-// under way looks like a free one, and the link behind it like a full one.
+// learnDrag takes the pace of an answer that no full link explains. The danger: a slow parent with few
+// transfers under way looks like a free one, and the link behind it like a full one.
 func (l *lane) learnDrag(now time.Duration, times float64) {
 	was := l.slowness(now)
 	l.drag, l.dragged = was+dragSmooth*(min(max(times, 1), dragMost)-1-was), now
