Answer operators on a second address: readiness, figures, an ordered drain

Now proxy.Admin answers there (codec: internal/http1), the proxy counts what it answers and what it has written whole (net.Message.Written), and Draining is a phase that comes back. Stopping is what Draining was.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	go run $(STATICCHECK) ./...
 
 fuzz:
-	for p in fastcgi resp feed; do go test ./internal/$$p -run '^$$' -fuzz FuzzDecode -fuzztime 20s || exit 1; done
+	for p in fastcgi resp feed http1; do go test ./internal/$$p -run '^$$' -fuzz FuzzDecode -fuzztime 20s || exit 1; done
 
 # The proxy with the example's configuration; start the toy servers first.
 run: build
--- /dev/null
+++ b/cmd/cloverdoor/admin_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// call sends raw bytes to the operators' address and returns the status and body of the answer.
+func (w *world) call(raw string) (status int, body string) {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.admin)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience)) //nolint:errcheck // shows in the answer
+	io.WriteString(conn, raw)                  //nolint:errcheck // shows in the answer
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		w.t.Fatalf("%.40q: %v", raw, err)
+	}
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return answer.StatusCode, string(text)
+}
+
+// operate makes a well-formed call.
+func (w *world) operate(method, path string) (status int, body string) {
+	w.t.Helper()
+	return w.call(method + " " + path + " HTTP/1.1\r\nHost: " + w.admin + "\r\n\r\n")
+}
+
+func (w *world) readiness() int {
+	w.t.Helper()
+	status, _ := w.operate("GET", "/ops/readiness")
+	return status
+}
+
+// figure fetches one of the figures; -1: it is not there.
+func (w *world) figure(name string) int {
+	w.t.Helper()
+	_, body := w.operate("GET", "/ops/stats")
+	if m := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (\d+)$`).FindStringSubmatch(body); m != nil {
+		n, _ := strconv.Atoi(m[1]) //nolint:errcheck // digits
+		return n
+	}
+	return -1
+}
+
+func (w *world) checkFigures(want map[string]int) {
+	w.t.Helper()
+	for name, n := range want {
+		if got := w.figure(name); got != n {
+			w.t.Errorf("%s is %d, want %d", name, got, n)
+		}
+	}
+}
+
+func operations(class, status string) string {
+	return fmt.Sprintf("svc_operations{priority=%q,status=%q}", class, status)
+}
+
+func TestStats(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	open := receive(t, w.cache.calls, "call")
+	c.ask(2, "registro", longWait, 2, "body")
+	receive(t, w.origin.calls, "call").answer("crashed", "-", "")
+	receive(t, c.answers, "answer")
+	c.ask(3, "registro", longWait, 2, "body")
+	receive(t, w.origin.calls, "call").answer("overload", "-", "")
+	for range 8 { // an overloaded origin is asked again, until the module refuses
+		select {
+		case again := <-w.origin.calls:
+			again.answer("overload", "-", "")
+			continue
+		case a := <-c.answers:
+			if a.status != "503" {
+				t.Errorf("%+v", a)
+			}
+		case <-time.After(patience):
+			t.Fatal("no answer")
+		}
+		break
+	}
+	w.checkFigures(map[string]int{
+		operations("artes", "relayed"): 1, operations("artes", "fulfilled"): 0, operations("artes", "throttled"): 0,
+		operations("registro", "faulted"): 1, operations("registro", "throttled"): 1,
+		"svc_open_requests": 1, "svc_registry_entries": 2, "svc_out_of_rotation": 0, "svc_cfg_accepted": 0, "svc_cfg_invalid": 0,
+	})
+	open.answer("served", "-", "fine")
+	receive(t, c.answers, "answer")
+	w.checkFigures(map[string]int{operations("artes", "fulfilled"): 1, "svc_open_requests": 0})
+	w.tell(list(2, false, member("c1", "std", "edge", "DRAINING", w.cache)))
+	w.eventually("one is out of rotation", func() bool { return w.figure("svc_out_of_rotation") == 1 })
+}
+
+// Whoever says nothing, or nonsense, at the operators' address keeps nobody else from an answer.
+func TestOperatorsAreAnswered(t *testing.T) {
+	w := newWorld(t)
+	for i := range 40 {
+		conn, err := net.Dial("tcp", w.admin)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 {
+			io.WriteString(conn, "GET /ops/rea") //nolint:errcheck // may be closed by now
+		}
+	}
+	for raw, want := range map[string]int{
+		"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n":                   200,
+		"PUT /ops/drain/stop HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi":      200,
+		"PUT /ops/readiness HTTP/1.1\r\n\r\n":                              405,
+		"GET /ops/drain/start HTTP/1.1\r\n\r\n":                            405,
+		"GET /ops/nothing HTTP/1.1\r\n\r\n":                                404,
+		"nonsense\r\n\r\n":                                                 400,
+		"GET /ops/stats HTTP/1.1\r\nA: " + strings.Repeat("a", 9000) + "x": 431,
+	} {
+		if got, _ := w.call(raw); got != want {
+			t.Errorf("%.40q: %d, want %d", raw, got, want)
+		}
+	}
+}
+
+// A drain sends clients away without cutting an answer off, and the proxy comes back from it.
+func TestDrain(t *testing.T) {
+	w := newWorld(t)
+	idle, busy := w.dial(), w.dial()
+	idle.ask(1, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "one")
+	receive(t, idle.answers, "answer")
+	busy.ask(1, "registro", longWait, 1, "") // of a read a second copy would be sent
+	open := receive(t, w.origin.calls, "call")
+	if status, _ := w.operate("PUT", "/ops/drain/start"); status != 200 || w.readiness() != 503 {
+		t.Error("not draining")
+	}
+	w.awaitAlive("503")
+	if a := receive(t, idle.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+	for id := uint16(2); ; id++ { // a connection that is never empty gets refusals in the end
+		busy.ask(id, "artes", longWait, int(id), "")
+		select {
+		case c := <-w.cache.calls:
+			c.answer("served", "-", "more")
+			receive(t, busy.answers, "answer")
+			continue
+		case a := <-busy.answers:
+			if a.id != id || a.protocol != 2 {
+				t.Errorf("%+v", a)
+			}
+		}
+		break
+	}
+	open.answer("served", "-", "fine")
+	if a := receive(t, busy.answers, "answer"); a.id != 1 || a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, busy.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+	if status, _ := w.operate("PUT", "/ops/drain/stop"); status != 200 || w.readiness() != 200 {
+		t.Error("still draining")
+	}
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "back")
+	if a := receive(t, c.answers, "answer"); a.body != "back" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that reads slowly gets all of its answers, though its connection is closed after the last of them.
+func TestSlowReaderGetsItsAnswers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.cache.serve("served", "-", strings.Repeat("x", 240_000))
+	conn, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(mustAddr(t, w.addr)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetReadBuffer(128 << 10) //nolint:errcheck // the machine's own size only makes the test weaker
+	asker := &client{Conn: conn}
+	for id := range uint16(32) {
+		asker.ask(id+1, "artes", longWait, int(id), "")
+	}
+	w.eventually("answers are ready", func() bool { return w.figure(operations("artes", "fulfilled")) == 32 })
+	w.operate("PUT", "/ops/drain/start")
+	time.Sleep(time.Second) // it reads nothing, for longer than the close may be waited for
+	c := newClient(conn)
+	for range 32 {
+		if a := receive(t, c.answers, "answer"); len(a.body) != 240_000 {
+			t.Fatalf("%d %s: %d bytes", a.id, a.status, len(a.body))
+		}
+	}
+	if a := receive(t, c.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+}
--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -26,6 +26,7 @@
 type config struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
+	Admin  string `json:"admin_addr"` // empty: operators can't call
 	Seed   string `json:"seed"`
 	Limits struct {
 		MemoryMB int `json:"memory_mb"`
@@ -36,8 +37,8 @@
 	Known       feed.Known      `json:"known"`
 	Settings    json.RawMessage `json:"settings"`
 
-	listen, coordinator netip.AddrPort
-	proxy               proxy.Config
+	listen, admin, coordinator netip.AddrPort
+	proxy                      proxy.Config
 }
 
 func main() {
@@ -69,6 +70,11 @@
 	if _, err := p.Listen(cfg.listen, proxy.ClientSockets(cfg.Limits.Sockets)); err != nil {
 		return err
 	}
+	if cfg.Admin != "" {
+		if err := p.ListenAdmin(cfg.admin); err != nil {
+			return err
+		}
+	}
 	p.Follow(cfg.coordinator, cfg.Known.Index)
 	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Read: func() (netip.AddrPort, error) {
 		now, err := load(os.Getenv)
@@ -93,6 +99,7 @@
 	}{
 		{"name", c.Name == later.Name},
 		{"listen", c.listen == later.listen},
+		{"admin_addr", c.admin == later.admin},
 		{"limits", c.Limits == later.Limits},
 		{"settings", bytes.Equal(c.Settings, later.Settings)},
 	} {
@@ -120,6 +127,9 @@
 	if listen := env("BALANCER_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
+	if admin := env("BALANCER_ADMIN_ADDR"); admin != "" {
+		c.Admin = admin
+	}
 	if name := env("BALANCER_NAME"); name != "" {
 		c.Name = name
 	}
@@ -133,6 +143,11 @@
 	if c.listen, err = netip.ParseAddrPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if c.Admin != "" {
+		if c.admin, err = netip.ParseAddrPort(c.Admin); err != nil {
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+	}
 	if c.coordinator, err = netip.ParseAddrPort(c.Coordinator); err != nil {
 		return fmt.Errorf("coordinator: %w", err)
 	}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -101,6 +102,12 @@
 	return l
 }
 
+func freeAddr(t *testing.T) string {
+	l := listen(t)
+	defer l.Close()
+	return l.Addr().String()
+}
+
 func serveEach(l net.Listener, serve func(net.Conn)) {
 	for {
 		conn, err := l.Accept()
@@ -134,7 +141,7 @@
 	t             *testing.T
 	cmd           *exec.Cmd
 	config        string // path of its configuration
-	addr          string
+	addr, admin   string
 	follows       chan string // 'follow' lines
 	mu            sync.Mutex
 	feed          net.Conn
@@ -165,14 +172,12 @@
 }
 
 func (w *world) start(known ...any) {
-	free := listen(w.t)
-	w.addr = free.Addr().String()
-	free.Close()
+	w.addr, w.admin = freeAddr(w.t), freeAddr(w.t)
 	class := func(name, effect string) map[string]any {
 		return map[string]any{"name": name, "semantics": effect, "promise-us": 500000, "gain": 1}
 	}
 	w.cmd, w.config = program(w.t, map[string]any{
-		"name": "n1", "listen": w.addr, "seed": "8c1f30d27a5be964", "coordinator": w.coordinator(),
+		"name": "n1", "listen": w.addr, "admin_addr": w.admin, "seed": "8c1f30d27a5be964", "coordinator": w.coordinator(),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  map[string]any{"index": len(known), "updates": known},
 		"settings": map[string]any{
@@ -380,3 +385,12 @@
 	b.Conn.Write(b.out) //nolint:errcheck // a lost connection shows in the answers
 	b.out = nil
 }
+
+func mustAddr(t *testing.T, s string) netip.AddrPort {
+	t.Helper()
+	addr, err := netip.ParseAddrPort(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -27,6 +27,8 @@
 	Encode() ([]byte, bool)
 	// Started is called once, when the first byte has been written.
 	Started()
+	// Written is called once, when the last byte has been written.
+	Written()
 }
 
 // ErrConnect marks a connection that never came up: nothing was sent on it.
@@ -62,8 +64,9 @@
 
 // output is bytes, or a message that has not been encoded yet.
 type output struct {
-	data []byte
-	msg  Message
+	data    []byte
+	msg     Message
+	written func() // of a message that has been encoded
 }
 
 // Up says whether the connection has been made.
@@ -130,13 +133,15 @@
 		return
 	}
 	c.closing = true
-	c.loop.At(c.loop.now+lingerFor, func() { c.fail(io.EOF) })
 	if len(c.queue) == 0 {
 		c.shutdown()
 	}
 }
 
+// shutdown begins the wait for the peer's end only when all that was queued has gone: a peer that reads slowly
+// would else lose the rest of an answer.
 func (c *Conn) shutdown() {
+	c.loop.At(c.loop.now+lingerFor, func() { c.fail(io.EOF) })
 	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
 		c.fail(fmt.Errorf("shutdown: %w", err))
 		return
@@ -262,6 +267,9 @@
 	data := first.data
 	if first.msg != nil {
 		made, ok := first.msg.Encode()
+		if c.closed { // it was the last use of a connection that was to be closed
+			return false, nil
+		}
 		if !ok {
 			c.queue = c.queue[1:]
 			return true, nil
@@ -278,7 +286,7 @@
 	c.wrote = c.loop.now
 	if msg := first.msg; msg != nil {
 		c.count(len(data))
-		first.msg = nil
+		first.msg, first.written = nil, msg.Written
 		msg.Started()
 	}
 	c.count(-n)
@@ -286,6 +294,9 @@
 		first.data = data[n:]
 		return false, nil
 	}
+	if first.written != nil {
+		first.written()
+	}
 	c.queue = c.queue[1:]
 	return true, nil
 }
--- /dev/null
+++ b/internal/proxy/admin.go
@@ -0,0 +1,160 @@
+package proxy
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"cloverdoor/internal/http1"
+	"cloverdoor/internal/net"
+)
+
+const (
+	// mostAdmin bounds the operators' connections: few, so that theirs are never missing to clients.
+	mostAdmin = 16
+	// callAfter is how long a caller may take over its call.
+	callAfter = 2 * time.Second
+)
+
+var errSlowCaller = errors.New("call did not come whole in time")
+
+// Admin answers the operators, on an address of their own.
+type Admin struct {
+	p     *Proxy
+	conns map[*adminConn]bool
+}
+
+// ListenAdmin opens the address for operators.
+func (p *Proxy) ListenAdmin(addr netip.AddrPort) error {
+	a := &Admin{p: p, conns: map[*adminConn]bool{}}
+	if _, err := p.loop.Listen(addr, a.room, a.accept); err != nil {
+		return err
+	}
+	a.watch()
+	return nil
+}
+
+// room closes the caller that has taken longest over its call when there is no place for another: callers that
+// say nothing must not keep out those that ask.
+func (a *Admin) room() bool {
+	if len(a.conns) < mostAdmin {
+		return true
+	}
+	var oldest *adminConn
+	for c := range a.conns {
+		if oldest == nil || c.since < oldest.since {
+			oldest = c
+		}
+	}
+	oldest.end()
+	return true
+}
+
+func (a *Admin) accept(c *net.Conn) net.Handler {
+	ac := &adminConn{admin: a, conn: c, since: a.p.loop.Now()}
+	a.conns[ac] = true
+	return ac
+}
+
+// watch closes the callers that take too long, over their call or over its answer.
+func (a *Admin) watch() {
+	for c := range a.conns {
+		if a.p.loop.Now()-c.since > callAfter {
+			c.end()
+		}
+	}
+	a.p.loop.At(a.p.loop.Now()+callAfter/10, a.watch)
+}
+
+// adminConn is one connection of an operator: one call, one answer.
+type adminConn struct {
+	admin *Admin
+	conn  *net.Conn
+	since net.Clock
+}
+
+func (c *adminConn) end() {
+	c.conn.Close()
+	c.Closed(errSlowCaller)
+}
+
+// Receive waits for a whole call and answers it.
+func (c *adminConn) Receive(data []byte) (used int, err error) {
+	used, call, err := http1.Decode(data)
+	switch {
+	case errors.Is(err, http1.ErrTooBig):
+		c.respond(http1.Response{Status: 431})
+	case err != nil:
+		c.respond(http1.Response{Status: 400, Body: err.Error() + "\n"})
+	case used > 0:
+		c.respond(c.admin.p.operate(call))
+	default:
+		return 0, nil
+	}
+	return len(data), nil
+}
+
+func (c *adminConn) respond(r http1.Response) {
+	c.conn.Write(http1.AppendResponse(nil, r))
+	c.conn.CloseFlushed()
+}
+
+// Closed forgets the connection.
+func (c *adminConn) Closed(error) { delete(c.admin.conns, c) }
+
+// operations are what operators may call, with the one method of each.
+var operations = map[string]struct {
+	method string
+	run    func(*Proxy) http1.Response
+}{
+	"/ops/readiness":   {"GET", (*Proxy).readiness},
+	"/ops/stats":       {"GET", func(p *Proxy) http1.Response { return http1.Response{Status: 200, Body: p.stats()} }},
+	"/ops/drain/start": {"PUT", (*Proxy).startDrain},
+	"/ops/drain/stop":  {"PUT", (*Proxy).stopDrain},
+}
+
+// operate carries out one call.
+func (p *Proxy) operate(call http1.Request) http1.Response {
+	op, known := operations[call.Path]
+	switch {
+	case !known:
+		return http1.Response{Status: 404, Body: "no such operation\n"}
+	case call.Method != op.method:
+		return http1.Response{Status: 405, Allow: op.method}
+	}
+	return op.run(p)
+}
+
+func (p *Proxy) readiness() http1.Response {
+	status := 200
+	if p.phase != Serving {
+		status = 503
+	}
+	return http1.Response{Status: status, Body: p.phase.String() + "\n"}
+}
+
+// startDrain empties the proxy of clients; it goes on running, and may be taken back.
+func (p *Proxy) startDrain() http1.Response {
+	if p.phase == Serving {
+		p.log.Printf("draining on an operator's order: %d requests open", p.open)
+		p.enter(Draining, drainTime)
+	}
+	return p.inPhase(Draining)
+}
+
+func (p *Proxy) stopDrain() http1.Response {
+	if p.phase == Draining {
+		p.log.Print("drain ended on an operator's order")
+		p.enter(Serving, 0)
+	}
+	return p.inPhase(Serving)
+}
+
+// inPhase says whether an order has brought the phase it is to bring.
+func (p *Proxy) inPhase(want Phase) http1.Response {
+	status := 200
+	if p.phase != want {
+		status = 409
+	}
+	return http1.Response{Status: status, Body: p.phase.String() + "\n"}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -70,6 +70,9 @@
 	a.on.started()
 }
 
+// Written counts the call: it has gone to its target whole.
+func (a *attempt) Written() { a.p.tallies.count(a.req.Name, relayed) }
+
 // answered takes the answer to an attempt. The first good one is the request's.
 func (p *Proxy) answered(a *attempt, ans resp.Answer) error {
 	result := results[ans.Word]
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -86,9 +86,9 @@
 }
 
 // watch looks after connections now and then: those whose peer takes nothing, asks nothing or has vanished are
-// closed, and when the proxy is leaving all that are done with.
+// closed, and when clients are to leave all that are done with.
 func (f *Front) watch() {
-	if f.p.Leaving() {
+	if f.p.Phase() == Stopping && f.p.Leaving() {
 		f.listener.Close()
 	}
 	for c := range f.conns {
@@ -190,7 +190,7 @@
 		case fastcgi.Reply:
 			c.conn.Write(ev.Data)
 			c.last = c.last || ev.Close
-			c.closeIfLast()
+			c.closeIfLeaving()
 		}
 	}
 	return len(data), nil
@@ -242,11 +242,11 @@
 	c.answered = c.front.p.loop.Now()
 	c.decoder.Done(id)
 	c.conn.Write(data)
-	c.closeIfLast()
+	c.closeIfLeaving()
 }
 
-func (c *clientConn) closeIfLast() {
-	if c.last {
+func (c *clientConn) closeIfLeaving() {
+	if c.last || c.front.p.Leaving() {
 		c.closeIfDone()
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,22 +18,30 @@
 // Phase is where the program stands between its start and its exit.
 type Phase int
 
-// The phases. Each one is followed by the next, and none comes back.
+// The phases. Each one is followed by the next; only draining may go back to serving.
 const (
 	Starting Phase = iota // no list yet: nothing can be served
 	Serving
-	Draining // asked to stop: still takes what comes, and answers everything
+	Draining // emptied by an operator's order: clients are sent away, until the order is taken back
+	Stopping // asked to end: the same, and then the end
 	Stopped
 )
 
-func (p Phase) String() string { return [...]string{"starting", "serving", "draining", "stopped"}[p] }
+func (p Phase) String() string {
+	return [...]string{"starting", "serving", "draining", "stopping", "stopped"}[p]
+}
 
 const (
 	// answerTime is what is kept of a request's time to write its answer and get it to the client.
 	answerTime = 60 * time.Millisecond
-	// drainTime is how long after the order to stop clients may still come: connections for 0.4 s, requests on
+	// stopTime is how long after the order to stop clients may still come: connections for 0.4 s, requests on
 	// them for 0.2 s more.
-	drainTime  = 700 * time.Millisecond
+	stopTime = 700 * time.Millisecond
+	// drainTime is the same for a drain: the front asks every 0.1 s, and sends new connections for 0.2 s more.
+	drainTime = 400 * time.Millisecond
+	// lateAfter is how long after that a client may go on with requests on a connection that always has one open.
+	// What comes later is refused, as such a connection would never be empty.
+	lateAfter  = time.Second
 	longestNap = 50 * time.Millisecond // between looks at the order to stop
 	sweepEvery = time.Second
 	mostOpen   = 4096 // requests open at once; the settings may say fewer
@@ -74,7 +82,11 @@
 	pools    *net.Pools
 	fronts   []*Front
 	follower *follower
-	stopBy   net.Clock // while draining: when clients have stopped coming
+	leaveAt  net.Clock // while draining or stopping: when new clients have stopped coming
+
+	open              int // requests taken and not ended
+	tallies           tallies
+	accepted, invalid int // configurations read again
 }
 
 // Orders are what the program is told from outside while it runs.
@@ -113,6 +125,9 @@
 		// Before the server closes it: a call that crosses the server's close would be lost.
 		Idle: cmp.Or(cfg.Settings.ConnIdle, defaultIdle) * 2 / 3,
 	}, p.openUpstream)
+	for _, c := range cfg.Settings.Policy.Classes {
+		p.tallies.add(c.Name)
+	}
 	for _, ev := range cfg.Known.Updates {
 		p.told(ev)
 	}
@@ -150,33 +165,45 @@
 	case <-orders.Reload:
 		addr, err := orders.Read()
 		if err != nil {
+			p.invalid++
 			p.log.Printf("not taken over: %v", err)
 			return
 		}
+		p.accepted++
 		p.log.Printf("configuration read again: coordinator %s", addr)
 		p.Refollow(addr)
 	default:
 	}
 }
 
-// advance moves to the phase that is due. Draining ends when clients have stopped coming and all they asked
+// advance moves to the phase that is due. Stopping ends when clients have stopped coming and all they asked
 // for has been answered.
 func (p *Proxy) advance(stop <-chan os.Signal) {
 	select {
 	case <-stop:
-		if p.phase < Draining {
-			p.log.Printf("draining: %d requests open", len(p.requests))
-			p.phase, p.stopBy = Draining, p.loop.Now()+drainTime
+		if p.phase < Stopping {
+			p.log.Printf("stopping: %d requests open", p.open)
+			p.enter(Stopping, stopTime)
 		}
 	default:
 	}
-	if p.phase == Draining && p.loop.Now() >= p.stopBy && !p.owes() {
+	if p.phase == Stopping && p.Leaving() && !p.owes() {
 		p.phase = Stopped
 	}
 }
 
+// enter begins a phase; clients may still come for the given time.
+func (p *Proxy) enter(phase Phase, still time.Duration) {
+	p.phase, p.leaveAt = phase, p.loop.Now()+still
+}
+
 // Leaving says that clients should go: no more of them are due.
-func (p *Proxy) Leaving() bool { return p.phase == Draining && p.loop.Now() >= p.stopBy }
+func (p *Proxy) Leaving() bool {
+	return (p.phase == Draining || p.phase == Stopping) && p.loop.Now() >= p.leaveAt
+}
+
+// late says that clients have had time enough to go.
+func (p *Proxy) late() bool { return p.Leaving() && p.loop.Now() >= p.leaveAt+lateAfter }
 
 // owes says whether any client still waits for an answer, or for the rest of one.
 func (p *Proxy) owes() bool {
@@ -255,7 +282,8 @@
 // when it was answered at once.
 func (p *Proxy) Submit(in Request, to Responder) int64 {
 	// At these bounds a refusal is all that memory allows; it is harmless, and clients come again.
-	if len(p.requests) >= p.mostOpen || p.held() >= p.mostHeld {
+	if len(p.requests) >= p.mostOpen || p.held() >= p.mostHeld || p.late() {
+		p.tallies.count(in.Name, throttled)
 		to.Respond(Answer{Status: Overloaded})
 		return 0
 	}
@@ -263,6 +291,7 @@
 	now := p.loop.Now()
 	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2)}
 	p.requests[q.number] = q
+	p.open++
 	p.bodies += len(q.Body)
 	q.timer = p.loop.At(q.deadline, func() { p.expire(q) })
 	p.tell(policy.Request{ID: q.number, Object: in.Object, Part: in.Part, Group: in.Group, Class: in.Class,
@@ -301,11 +330,13 @@
 		return
 	}
 	p.finish(q)
+	p.tallies.count(q.Name, a.Status.counted())
 	q.to.Respond(a)
 }
 
 func (p *Proxy) finish(q *request) {
 	q.finished = true
+	p.open--
 	p.forget(q)
 }
 
