--- a/cmd/cloverdoor/admin_test.go
+++ b/cmd/cloverdoor/admin_test.go
@@ -102,6 +102,11 @@
 	open.answer("served", "-", "fine")
 	receive(t, c.answers, "answer")
 	w.checkFigures(map[string]int{operations("artes", "fulfilled"): 1, "svc_open_requests": 0})
+	c.ask(4, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call")
+	c.record(2, 4, "") // its client gives it up
+	receive(t, c.answers, "END_REQUEST")
+	w.checkFigures(map[string]int{operations("artes", "faulted"): 1, "svc_open_requests": 0})
 	w.tell(list(2, false, member("c1", "std", "edge", "DRAINING", w.cache)))
 	w.eventually("one is out of rotation", func() bool { return w.figure("svc_out_of_rotation") == 1 })
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -306,6 +306,7 @@
 func (p *Proxy) Abandon(number int64) {
 	if q := p.requests[number]; q != nil && !q.finished {
 		p.finish(q)
+		p.tallies.count(q.Name, faulted)
 		p.tell(policy.ClientGone{ID: number})
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -119,8 +119,8 @@
 }
 
 // lane is a link as this router sees it: the one-client transfers that it carries at full pace, this router's
-// attempts under way on it, and their mean number, which each other router that shares the link is taken to have
-// too. The danger of a fixed share of the link: with many routers an idle link looks full.
+// attempts under way on it, and their mean number, which each other router that shares the link is taken to
+// have too. The danger of a fixed share of the link: with many routers an idle link looks full.
 type lane struct {
 	start, cap float64
 	routers    float64 // that share it
@@ -131,8 +131,8 @@
 	dragged    time.Duration // when that was learned
 }
 
-// gate bounds the attempts under way that may make the origin work, as a crowded origin that is asked on stops
-// wholly. Under one, an attempt passes by chance: one for each of many routers may be more than it can do.
+// gate bounds the attempts under way that may make the origin work: one that is crowded and asked on stops.
+// Under one, an attempt passes by chance, as one for each of many routers may be more than it can do.
 type gate struct {
 	size  float64
 	least float64 // this router's part of what the origin is taken to do at once
@@ -208,8 +208,8 @@
 	return r.out
 }
 
-// Recheck is asked when the first byte of an attempt is about to be written. It returns the attempt's orders as
-// they are now, or false when it must not go: while it waited its member may have been drained, its copy purged.
+// Recheck is asked when the first byte of an attempt is about to be written. It returns the attempt's orders
+// as they are now, or false when it must not go: its member may be drained by now, its copy purged.
 func (r *Router) Recheck(now time.Duration, id int64, number int) (Fetch, bool) {
 	r.now = now
 	q := r.open[id]
@@ -251,8 +251,8 @@
 	l.start, l.cap, l.routers = start, l.cap*start/l.start, routers
 }
 
-// sortMembers lists by id who is not gone, and sizes their links: as told, else caches alike and each tier above to
-// carry passedUp of the one below: a parent thought to grow with the number of routers is pushed over when cold.
+// sortMembers lists by id who is not gone, and sizes their links: as told, else caches alike and each tier
+// above to carry passedUp of the one below. One thought to grow with the routers is pushed over when cold.
 func (r *Router) sortMembers() {
 	r.caches, r.parents, r.origin = nil, nil, nil
 	all, zone := 0.0, 0.0
@@ -400,7 +400,7 @@
 	}
 }
 
-// observeOrigin moves the gate: a failure shuts it by a share, a late answer by a smaller one, others open it.
+// observeOrigin moves the gate: a failure shuts it by a share, a late answer by less, others open it.
 func (r *Router) observeOrigin(a *attempt, o Outcome) {
 	if a.gated {
 		r.gate.under--
@@ -421,8 +421,8 @@
 	}
 }
 
-// blame holds a failure against its member once another has answered the same request: one that fails everything
-// at once looks free. What fails wherever it goes is the request's own fault, and one failure says little.
+// blame holds a failure against its member once another has answered the same request: one that fails
+// everything at once looks free. What fails wherever it goes is at fault itself, and one failure says little.
 func (r *Router) blame(q *request, answered *member) {
 	for i, b := range q.attempts {
 		if !b.failed || b.target == answered || i > 0 && b.target == q.attempts[i-1].target {
@@ -547,8 +547,8 @@
 	}
 }
 
-// observeSize learns how long a part takes to send; where its bytes are not told, an answer over free links shows
-// it. The danger: a large object on a free link looks like a full link, and small requests are refused.
+// observeSize learns how long a part takes to send; where its bytes are not told, an answer over free links
+// shows it. The danger: a large object on a free link looks like a full link, and small requests are refused.
 func (r *Router) observeSize(a *attempt, o Outcome) {
 	q, work := a.req, o.Sending.Seconds()
 	if work == 0 && o.hit() && a.takes < stretched*q.work {
@@ -663,7 +663,7 @@
 	return share + (1-share)*max(0, age.Seconds())/within.Seconds()
 }
 
-// withinColdBudget keeps a cold member from being pushed over: this router's part of the least it surely bears.
+// withinColdBudget keeps a cold member from being pushed over: this router's part of what it surely bears.
 func (r *Router) withinColdBudget(m *member, q *request) bool {
 	warm := r.warmth(m)
 	if warm >= 1 {
@@ -766,7 +766,7 @@
 
 // ---- source
 
-// source is the design's choice: the believed holder with the lowest ratio when that is worth it, else a parent.
+// source is the design's choice: the believed holder with the lowest ratio if worth it, else a parent.
 func (r *Router) source(q *request, target *member) *member {
 	return cmp.Or(r.sibling(q, target), r.parent(q), target)
 }
@@ -894,8 +894,8 @@
 	return wait
 }
 
-// hopeless says that a full link makes q late whatever is done, and sending it would only make others late too; a
-// slow member that has room does not. Long requests meet this first: their worth per sending time is the least.
+// hopeless says that a full link makes q late whatever is done, and sending it would make others late too; a
+// slow member with room does not. Long requests meet this first: their worth per sending time is the least.
 func (r *Router) hopeless(q *request, a *attempt, wait float64) bool {
 	cheap := q.class.Worth / q.work / (r.meanWorth.value / r.meanWork.value)
 	share := min(1, math.Pow(cheap, min(1, (a.expected/q.work-1)/(fullPressure-1))))
