Listen on the platform's socket, so that a new process can take over from the old one

Now net.Loop.ListenOn accepts on that descriptor (checked to listen; non-blocking, close-on-exec). On SIGTERM a front with a shared socket lets nothing in any more, so that new connections go to the process that takes over; each old connection is closed when nothing is open on it. Memory and sockets for caches are halved, as two processes share them.

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -38,6 +38,7 @@
 	Settings    json.RawMessage `json:"settings"`
 
 	listen, admin, coordinator netip.AddrPort
+	inherited                  int // descriptor of the clients' listening socket; 0: none
 	proxy                      proxy.Config
 }
 
@@ -67,14 +68,9 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	p := proxy.New(loop, cfg.proxy, logger)
-	if _, err := p.Listen(cfg.listen, proxy.ClientSockets(cfg.Limits.Sockets)); err != nil {
+	if err := openAddresses(p, cfg); err != nil {
 		return err
 	}
-	if cfg.Admin != "" {
-		if err := p.ListenAdmin(cfg.admin); err != nil {
-			return err
-		}
-	}
 	p.Follow(cfg.coordinator, cfg.Known.Index)
 	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Read: func() (netip.AddrPort, error) {
 		now, err := load(os.Getenv)
@@ -88,6 +84,20 @@
 	}})
 }
 
+// openAddresses listens for clients and operators.
+func openAddresses(p *proxy.Proxy, cfg *config) (err error) {
+	most := proxy.ClientSockets(cfg.Limits.Sockets)
+	if cfg.inherited != 0 {
+		err = p.ListenOn(cfg.inherited, most)
+	} else {
+		err = p.Listen(cfg.listen, most)
+	}
+	if err != nil || cfg.Admin == "" {
+		return err
+	}
+	return p.ListenAdmin(cfg.admin)
+}
+
 // keeps names what differs in a configuration read later and holds until the next start all the same. Sockets,
 // limits and the module's settings are fixed while the proxy runs; only the coordinator's address is taken over.
 // The known events are not among them: every one since is told by the coordinator.
@@ -130,6 +140,11 @@
 	if admin := env("BALANCER_ADMIN_ADDR"); admin != "" {
 		c.Admin = admin
 	}
+	if fd := env("BALANCER_LISTEN_FD"); fd != "" {
+		if c.inherited, err = strconv.Atoi(fd); err != nil || c.inherited <= 2 {
+			return nil, fmt.Errorf("BALANCER_LISTEN_FD: %q is no descriptor", fd)
+		}
+	}
 	if name := env("BALANCER_NAME"); name != "" {
 		c.Name = name
 	}
@@ -172,5 +187,8 @@
 	}
 	c.proxy = proxy.Config{Settings: set, Seed: seed, Known: c.Known, Sockets: c.Limits.Sockets,
 		Memory: c.Limits.MemoryMB << 20, Flow: c.Flow}
+	if c.inherited != 0 { // for a while, two processes share the limits
+		c.proxy.Sockets, c.proxy.Memory = c.proxy.Sockets/2, c.proxy.Memory/2
+	}
 	return nil
 }
--- /dev/null
+++ b/cmd/cloverdoor/replace_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"net"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// A process that takes over serves on the socket that the platform holds. The old one lets nothing in any more once
+// it is told to stop, answers what it has taken and ends; what waits in the socket's queue is not lost.
+func TestReplacingTheProcess(t *testing.T) {
+	w := prepare(t)
+	held := listen(t).(*net.TCPListener)
+	socket, err := held.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	w.socket = socket
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.addr = held.Addr().String()
+	w.awaitAlive("200")
+	kept := w.dial()
+	kept.ask(1, "artes", longWait, 1, "")
+	open := receive(t, w.cache.calls, "call")
+
+	old := w.replace()
+	w.eventually("the new process is ready", func() bool {
+		conn, err := net.Dial("tcp", w.admin)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil && w.readiness() == 200
+	})
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for id := range uint16(50) { // the new process alone answers yes, once the old one lets nothing in any more
+		c := w.dial()
+		c.ask(id+1, "artes", longWait, int(id), "")
+		receive(t, w.cache.calls, "call").answer("served", "-", "new")
+		if a := receive(t, c.answers, "answer"); a.body != "new" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	open.answer("served", "-", "fine")
+	if a := receive(t, kept.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, kept.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+	w.awaitAlive("200")
+	if w.figure(operations("artes", "fulfilled")) < 1 {
+		t.Error("the new process has served nothing")
+	}
+}
+
+func TestBadListenDescriptor(t *testing.T) {
+	for _, fd := range []string{"x", "-1", "9"} {
+		w := prepare(t)
+		w.start()
+		cmd := exec.Command(w.cmd.Path)
+		cmd.Env = append(w.cmd.Env, "BALANCER_LISTEN_FD="+fd)
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "escriptor") {
+			t.Errorf("%s: %v %q", fd, err, out)
+		}
+	}
+}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -148,6 +148,7 @@
 	cache, origin *server
 	exit          chan error
 	log           *os.File // of the program
+	socket        *os.File // listening for clients, held by the platform; nil: the program listens by itself
 }
 
 // member is an entry of the coordinator's list.
@@ -190,12 +191,31 @@
 			"rules": map[string]any{"start-capacity": 1, "warm-within-us": 1, "fall-multiple": 2, "fall-us": 1000000},
 		},
 	})
+	w.run()
+}
+
+// run starts the program that has been prepared.
+func (w *world) run() {
 	w.cmd.Stderr = w.log
+	if w.socket != nil {
+		w.cmd.ExtraFiles = []*os.File{w.socket}
+		w.cmd.Env = append(w.cmd.Env, "BALANCER_LISTEN_FD=3")
+	}
 	if err := w.cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
-	go func() { w.exit <- w.cmd.Wait() }()
-	w.t.Cleanup(func() { w.cmd.Process.Kill() }) //nolint:errcheck // it may have ended
+	cmd := w.cmd
+	go func() { w.exit <- cmd.Wait() }()
+	w.t.Cleanup(func() { cmd.Process.Kill() }) //nolint:errcheck // it may have ended
+}
+
+// replace starts the program once more beside the running one, with an operators' address of its own.
+func (w *world) replace() (old *exec.Cmd) {
+	old, w.admin = w.cmd, freeAddr(w.t)
+	w.cmd = exec.Command(os.Args[0])
+	w.cmd.Env = append(os.Environ(), "CLOVERDOOR_TEST_PROGRAM=1", "BALANCER_CONFIG="+w.config, "BALANCER_ADMIN_ADDR="+w.admin)
+	w.run()
+	return old
 }
 
 // coordinator starts a coordinator and returns its address.
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -29,19 +29,40 @@
 	if err != nil {
 		return nil, err
 	}
-	ln := &Listener{loop: l, fd: fd, room: room, accept: accept}
 	err = errors.Join(
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1),
 		unix.Bind(fd, sockaddr(addr)))
 	if err == nil {
 		err = unix.Listen(fd, 1024)
 	}
+	if err != nil {
+		unix.Close(fd) //nolint:errcheck // the first error is what counts
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return l.listener(fd, room, accept)
+}
+
+// ListenOn accepts connections on a listening socket that the process was started with, and may share with others.
+func (l *Loop) ListenOn(fd int, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
+	listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	if err == nil && listens == 0 {
+		err = errors.New("not a listening socket")
+	}
 	if err == nil {
-		err = l.add(fd, unix.EPOLLIN, ln)
+		err = unix.SetNonblock(fd, true)
 	}
 	if err != nil {
+		return nil, fmt.Errorf("listen on descriptor %d: %w", fd, err)
+	}
+	unix.CloseOnExec(fd)
+	return l.listener(fd, room, accept)
+}
+
+func (l *Loop) listener(fd int, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
+	ln := &Listener{loop: l, fd: fd, room: room, accept: accept}
+	if err := l.add(fd, unix.EPOLLIN, ln); err != nil {
 		unix.Close(fd) //nolint:errcheck // the first error is what counts
-		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+		return nil, err
 	}
 	return ln, nil
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -36,25 +36,44 @@
 type Front struct {
 	p        *Proxy
 	listener *net.Listener
+	shared   bool // another process may accept from the same socket
 	conns    map[*clientConn]bool
 	most     int
 	classes  map[string]int
 }
 
 // Listen opens the front for clients on addr.
-func (p *Proxy) Listen(addr netip.AddrPort, most int) (*Front, error) {
+func (p *Proxy) Listen(addr netip.AddrPort, most int) error {
+	f := p.newFront(most)
+	ln, err := p.loop.Listen(addr, f.room, f.accept)
+	return f.open(ln, err)
+}
+
+// ListenOn opens the front for clients on a listening socket that the platform holds. Another process may take over
+// from this one on it, and both accept for a while.
+func (p *Proxy) ListenOn(fd, most int) error {
+	f := p.newFront(most)
+	f.shared = true
+	ln, err := p.loop.ListenOn(fd, f.room, f.accept)
+	return f.open(ln, err)
+}
+
+func (p *Proxy) newFront(most int) *Front {
 	f := &Front{p: p, conns: map[*clientConn]bool{}, most: most, classes: map[string]int{}}
 	for i, c := range p.set.Policy.Classes {
 		f.classes[c.Name] = i
 	}
-	var err error
-	f.listener, err = p.loop.Listen(addr, f.room, f.accept)
+	return f
+}
+
+func (f *Front) open(ln *net.Listener, err error) error {
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p.fronts = append(p.fronts, f)
+	f.listener = ln
+	f.p.fronts = append(f.p.fronts, f)
 	f.watch()
-	return f, nil
+	return nil
 }
 
 // room says whether one more client may connect. When they hold all descriptors that they may, the one that is
@@ -88,7 +107,8 @@
 // watch looks after connections now and then: those whose peer takes nothing, asks nothing or has vanished are
 // closed, and when clients are to leave all that are done with.
 func (f *Front) watch() {
-	if f.p.Phase() == Stopping && f.p.Leaving() {
+	// A shared socket is left at once: what still comes to it waits for the process that takes over.
+	if f.p.Phase() == Stopping && (f.shared || f.p.Leaving()) {
 		f.listener.Close()
 	}
 	for c := range f.conns {
