Take new settings over at SIGHUP, whole or not at all

Logged by temporary lines: new files bring classes and move the numbers of those that stay; broken ones (empty settings, a deadline of -5) also name a coordinator that does not exist. main.go took that one over, as it only looked at the coordinator, so that no drain or purge was heard of; the new classes were answered 400.

Now settings.Check, CheckAfter and Missing look at a file before anything of it is used. A file that is taken brings its settings to module (policy.Settings is an event), front, pools and coordinator in one turn.

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -37,6 +36,8 @@
 	Known       feed.Known      `json:"known"`
 	Settings    json.RawMessage `json:"settings"`
 
+	fields map[string]json.RawMessage // the file's, as they came
+
 	listen, admin, coordinator netip.AddrPort
 	inherited                  int // descriptor of the clients' listening socket; 0: none
 	proxy                      proxy.Config
@@ -72,18 +73,44 @@
 		return err
 	}
 	p.Follow(cfg.coordinator, cfg.Known.Index)
-	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Read: func() (netip.AddrPort, error) {
+	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Read: func() (proxy.Update, error) {
 		now, err := load(os.Getenv)
+		if err == nil {
+			err = now.checkAfter(cfg)
+		}
 		if err != nil {
-			return netip.AddrPort{}, err
+			return proxy.Update{}, err
 		}
 		if kept := cfg.keeps(now); kept != "" {
 			logger.Printf("changed in the configuration, and taken over at the next start only: %s", kept)
 		}
-		return now.coordinator, nil
+		cfg.fields, cfg.proxy.Settings = now.fields, now.proxy.Settings
+		return proxy.Update{Coordinator: now.coordinator, Settings: now.proxy.Settings, Flow: now.Flow}, nil
 	}})
 }
 
+// checkAfter says whether a configuration read later may be taken over. Half of one, such as a file that was cut off
+// or lacks a key, must not be: its absent values would pass for 'not told'.
+func (c *config) checkAfter(earlier *config) error {
+	for name, was := range earlier.fields {
+		is, ok := c.fields[name]
+		if !ok {
+			return fmt.Errorf("configuration: %s is missing", name)
+		}
+		if name == "known" { // each of its events is of another form
+			continue
+		}
+		path, err := settings.Missing(was, is)
+		if err == nil && path != "" {
+			err = fmt.Errorf("%s%s is missing or of another type", name, path)
+		}
+		if err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+	}
+	return c.proxy.Settings.CheckAfter(earlier.proxy.Settings)
+}
+
 // openAddresses listens for clients and operators.
 func openAddresses(p *proxy.Proxy, cfg *config) (err error) {
 	most := proxy.ClientSockets(cfg.Limits.Sockets)
@@ -98,9 +125,9 @@
 	return p.ListenAdmin(cfg.admin)
 }
 
-// keeps names what differs in a configuration read later and holds until the next start all the same. Sockets,
-// limits and the module's settings are fixed while the proxy runs; only the coordinator's address is taken over.
-// The known events are not among them: every one since is told by the coordinator.
+// keeps names what differs in a configuration read later and holds until the next start all the same. Sockets and
+// limits are fixed while the proxy runs; the settings, the pace of a transfer and the coordinator's address are taken
+// over. The known events are not among them: every one since is told by the coordinator.
 func (c *config) keeps(later *config) string {
 	var names []string
 	for _, field := range []struct {
@@ -111,7 +138,6 @@
 		{"listen", c.listen == later.listen},
 		{"admin_addr", c.admin == later.admin},
 		{"limits", c.Limits == later.Limits},
-		{"settings", bytes.Equal(c.Settings, later.Settings)},
 	} {
 		if !field.same {
 			names = append(names, field.name)
@@ -131,7 +157,10 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	var c config
-	if err := json.Unmarshal(text, &c); err != nil {
+	if err = json.Unmarshal(text, &c); err == nil {
+		err = json.Unmarshal(text, &c.fields)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if listen := env("BALANCER_LISTEN"); listen != "" {
@@ -179,12 +208,12 @@
 		}
 	}
 	set, err := settings.Decode(c.Settings)
+	if err == nil {
+		err = set.Check()
+	}
 	if err != nil {
 		return err
 	}
-	if len(set.Policy.Classes) == 0 {
-		return errors.New("settings: no classes")
-	}
 	c.proxy = proxy.Config{Settings: set, Seed: seed, Known: c.Known, Sockets: c.Limits.Sockets,
 		Memory: c.Limits.MemoryMB << 20, Flow: c.Flow}
 	if c.inherited != 0 { // for a while, two processes share the limits
--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -424,8 +424,7 @@
 	follow("after silence", "follow 3")
 }
 
-// SIGHUP brings a new coordinator, whose numbers go on; a configuration that can't be read changes nothing. What
-// is open meanwhile is answered.
+// SIGHUP brings a new coordinator, whose numbers go on. What is open meanwhile is answered.
 func TestReloadFollowsTheNewCoordinator(t *testing.T) {
 	w := newWorld(t)
 	receive(t, w.follows, "follow")
@@ -436,23 +435,8 @@
 	c.ask(1, "artes", longWait, 1, "")
 	open := receive(t, w.cache.calls, "call")
 
-	good, err := os.ReadFile(w.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	reload := func(text string) {
-		t.Helper()
-		if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
-	}
-	reload("{")
-	w.awaitAlive("200")
 	old := w.feed
-	reload(strings.Replace(string(good), old.LocalAddr().String(), w.coordinator(), 1))
+	w.reload(old.LocalAddr().String(), w.coordinator())
 	if got := receive(t, w.follows, "follow"); got != "follow 2" || w.feed.LocalAddr().String() == old.LocalAddr().String() {
 		t.Errorf("%q at %v", got, w.feed.LocalAddr())
 	}
@@ -462,6 +446,55 @@
 	}
 }
 
+// A configuration that is broken anywhere changes nothing, its coordinator included. A whole one brings its classes,
+// and what they allow, while requests under way keep theirs.
+func TestReloadTakesSettingsWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	open := receive(t, w.cache.calls, "call")
+	addr, elsewhere := w.feed.LocalAddr().String(), w.coordinator()
+	for i, broken := range [][]string{
+		{"", ""}, {"", "{"}, {addr, elsewhere, `"max-attempts":8`, `"max-attempts":0`},
+		{addr, elsewhere, `"gain":1,"name":"artes"`, `"name":"artes"`}, {addr, elsewhere, `"settings"`, `"set"`},
+		{addr, elsewhere, `"may-cancel":true,`, ""}, {addr, elsewhere, `"name":"artes"`, `"deadline-us":-5,"name":"artes"`},
+		{addr, elsewhere, `"pass-on":[false,true]`, `"pass-on":[false]`}, {addr, elsewhere, `"zone":1`, `"zone":0`},
+	} {
+		w.reload(broken...)
+		w.eventually("turned down", func() bool { return w.figure("svc_cfg_invalid") == i+1 })
+	}
+	c.ask(2, "artes", longWait, 2, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "as before")
+	if a := receive(t, c.answers, "answer"); a.body != "as before" || len(w.follows) != 0 {
+		t.Errorf("%+v, or another coordinator was followed", a)
+	}
+	// registro, which must not run twice, moves to where artes was; a new class takes its place.
+	const artes, write = `{"gain":1,"name":"artes","promise-us":500000,"semantics":"read_like"}`,
+		`{"gain":1,"name":"registro","promise-us":500000,"semantics":"non_idempotent"}`
+	w.reload(artes+","+write, write+","+strings.Replace(artes, "artes", "nuevos", 1), `"pass-on":[false,true]`, `"pass-on":[true,false]`)
+	w.eventually("taken over", func() bool { return w.figure("svc_cfg_accepted") == 1 })
+	c.ask(3, "registro", longWait, 3, "x")
+	receive(t, w.origin.calls, "call").answer("crashed", "-", "")
+	if a := receive(t, c.answers, "answer"); a.status != "502" {
+		t.Errorf("a write that may have run: %+v", a)
+	}
+	c.ask(4, "nuevos", longWait, 4, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "new")
+	if a := receive(t, c.answers, "answer"); a.body != "new" {
+		t.Errorf("%+v", a)
+	}
+	c.ask(5, "artes", longWait, 5, "")
+	if a := receive(t, c.answers, "answer"); a.status != "400" {
+		t.Errorf("a class that is gone: %+v", a)
+	}
+	open.answer("served", "-", "fine")
+	if a := receive(t, c.answers, "answer"); a.id != 1 || a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	w.checkFigures(map[string]int{operations("artes", "fulfilled"): 2, operations("nuevos", "fulfilled"): 1, "svc_cfg_invalid": 9})
+}
+
 func TestAliveOnceTheListIsKnown(t *testing.T) {
 	w := prepare(t)
 	w.start()
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -140,7 +141,7 @@
 type world struct {
 	t             *testing.T
 	cmd           *exec.Cmd
-	config        string // path of its configuration
+	config, text  string // path of its configuration, and what it began with
 	addr, admin   string
 	follows       chan string // 'follow' lines
 	mu            sync.Mutex
@@ -191,6 +192,11 @@
 			"rules": map[string]any{"start-capacity": 1, "warm-within-us": 1, "fall-multiple": 2, "fall-us": 1000000},
 		},
 	})
+	text, err := os.ReadFile(w.config)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.text = string(text)
 	w.run()
 }
 
@@ -209,6 +215,26 @@
 	w.t.Cleanup(func() { cmd.Process.Kill() }) //nolint:errcheck // it may have ended
 }
 
+// reload has the program read a changed configuration: each odd text of the first one is replaced by the next; in
+// place of "" the next is the whole file.
+func (w *world) reload(changes ...string) {
+	w.t.Helper()
+	text := w.text
+	for i := 0; i < len(changes); i += 2 {
+		if changes[i] == "" {
+			text = changes[i+1]
+		} else if text = strings.Replace(text, changes[i], changes[i+1], 1); !strings.Contains(text, changes[i+1]) {
+			w.t.Fatalf("%q is not in the configuration", changes[i])
+		}
+	}
+	if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // replace starts the program once more beside the running one, with an operators' address of its own.
 func (w *world) replace() (old *exec.Cmd) {
 	old, w.admin = w.cmd, freeAddr(w.t)
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -61,6 +61,9 @@
 	return &Pools{loop: l, limits: limits, open: open, byID: map[string]*Pool{}}
 }
 
+// SetLimits replaces the limits. Connections beyond them end as they are used up.
+func (ps *Pools) SetLimits(limits Limits) { ps.limits = limits }
+
 // Set says where a server is to be found. At a new address its old connections take no new use.
 func (ps *Pools) Set(id string, addr netip.AddrPort) {
 	if p := ps.byID[id]; p != nil {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -39,7 +39,6 @@
 	shared   bool // another process may accept from the same socket
 	conns    map[*clientConn]bool
 	most     int
-	classes  map[string]int
 }
 
 // Listen opens the front for clients on addr.
@@ -59,10 +58,7 @@
 }
 
 func (p *Proxy) newFront(most int) *Front {
-	f := &Front{p: p, conns: map[*clientConn]bool{}, most: most, classes: map[string]int{}}
-	for i, c := range p.set.Policy.Classes {
-		f.classes[c.Name] = i
-	}
+	f := &Front{p: p, conns: map[*clientConn]bool{}, most: most}
 	return f
 }
 
@@ -281,7 +277,7 @@
 // parse decodes the fields of a request.
 func (f *Front) parse(r *fastcgi.Request) (Request, error) {
 	name, ok := strings.CutPrefix(r.Script, opsPath)
-	class, known := f.classes[name]
+	class, known := f.p.class[name]
 	if !ok || !known {
 		return Request{}, fmt.Errorf("no such operation: %q", r.Script)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,7 +66,8 @@
 	loop   *net.Loop
 	router *policy.Router
 	set    settings.Settings
-	flow   float64 // bytes a second of one transfer; 0: not told
+	class  map[string]int // by name: its number in the settings
+	flow   float64        // bytes a second of one transfer; 0: not told
 	log    *log.Logger
 	phase  Phase
 
@@ -74,6 +75,7 @@
 	requests map[int64]*request
 	lastID   int64
 	mostOpen int
+	sockets  int // connections to caches
 	mostHeld int // bytes held at which requests are refused
 	bodies   int // bytes of the open requests' bodies
 	partial  int // bytes of requests that have not come whole
@@ -93,8 +95,15 @@
 type Orders struct {
 	Stop   <-chan os.Signal // drain, then end
 	Reload <-chan os.Signal // read the configuration again
-	// Read returns the coordinator's address as the configuration has it now.
-	Read func() (netip.AddrPort, error)
+	// Read returns what the configuration says now. An error says that it can't be used.
+	Read func() (Update, error)
+}
+
+// Update is what a running proxy takes over from a configuration read again.
+type Update struct {
+	Coordinator netip.AddrPort
+	Settings    settings.Settings
+	Flow        float64
 }
 
 // request is one client request until its answer is given and its last attempt has ended.
@@ -103,6 +112,7 @@
 	number   int64 // the module's
 	to       Responder
 	deadline net.Clock // by which the answer must have been written
+	safe     bool      // it may be repeated
 	timer    *net.Timer
 	attempts []*attempt
 	pending  int
@@ -113,21 +123,12 @@
 // New returns a proxy that knows what the configuration knows.
 func New(loop *net.Loop, cfg Config, logger *log.Logger) *Proxy {
 	p := &Proxy{
-		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), set: cfg.Settings, flow: cfg.Flow, log: logger,
+		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), log: logger,
 		requests: map[int64]*request{}, servers: map[string]int64{},
-		mostOpen: min(mostOpen, cmp.Or(cfg.Settings.MaxOpen, mostOpen)), mostHeld: cfg.Memory / 4,
-	}
-	p.pools = net.NewPools(loop, net.Limits{
-		Streams:        max(1, cfg.Settings.StreamsPerConn),
-		Sockets:        UpstreamSockets(cfg.Sockets),
-		Apart:          UpstreamSockets(cfg.Sockets) / 2,
-		ConnectTimeout: cmp.Or(cfg.Settings.ConnectTimeout, defaultConnect),
-		// Before the server closes it: a call that crosses the server's close would be lost.
-		Idle: cmp.Or(cfg.Settings.ConnIdle, defaultIdle) * 2 / 3,
-	}, p.openUpstream)
-	for _, c := range cfg.Settings.Policy.Classes {
-		p.tallies.add(c.Name)
+		sockets: UpstreamSockets(cfg.Sockets), mostHeld: cfg.Memory / 4,
 	}
+	p.pools = net.NewPools(loop, net.Limits{}, p.openUpstream)
+	p.apply(cfg.Settings, cfg.Flow)
 	for _, ev := range cfg.Known.Updates {
 		p.told(ev)
 	}
@@ -136,6 +137,24 @@
 	return p
 }
 
+// apply takes over settings, at the start and later, wherever the proxy goes by them itself.
+func (p *Proxy) apply(set settings.Settings, flow float64) {
+	p.set, p.flow, p.class = set, flow, map[string]int{}
+	for i, c := range set.Policy.Classes {
+		p.class[c.Name] = i
+		p.tallies.add(c.Name)
+	}
+	p.mostOpen = min(mostOpen, cmp.Or(set.MaxOpen, mostOpen))
+	p.pools.SetLimits(net.Limits{
+		Streams:        max(1, set.StreamsPerConn),
+		Sockets:        p.sockets,
+		Apart:          p.sockets / 2,
+		ConnectTimeout: cmp.Or(set.ConnectTimeout, defaultConnect),
+		// Before the server closes it: a call that crosses the server's close would be lost.
+		Idle: cmp.Or(set.ConnIdle, defaultIdle) * 2 / 3,
+	})
+}
+
 // ClientSockets is the part of the descriptors that clients may hold: they keep to a third.
 func ClientSockets(all int) int { return all * 2 / 5 }
 
@@ -163,15 +182,17 @@
 func (p *Proxy) reload(orders Orders) {
 	select {
 	case <-orders.Reload:
-		addr, err := orders.Read()
+		now, err := orders.Read()
 		if err != nil {
 			p.invalid++
 			p.log.Printf("not taken over: %v", err)
 			return
 		}
 		p.accepted++
-		p.log.Printf("configuration read again: coordinator %s", addr)
-		p.Refollow(addr)
+		p.log.Printf("configuration read again: coordinator %s, %d classes", now.Coordinator, len(now.Settings.Policy.Classes))
+		p.apply(now.Settings, now.Flow)
+		p.tell(now.Settings.Policy) // before any request by the new classes: none has come since the last turn
+		p.Refollow(now.Coordinator)
 	default:
 	}
 }
@@ -289,7 +310,8 @@
 	}
 	p.lastID++
 	now := p.loop.Now()
-	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2)}
+	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2),
+		safe: p.set.Policy.Classes[in.Class].Effect == policy.Safe}
 	p.requests[q.number] = q
 	p.open++
 	p.bodies += len(q.Body)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,8 @@
 	ConnectTimeout time.Duration
 	MaxOpen        int // requests that may be open at once; 0: not told
 	StreamsPerConn int // attempts that one connection carries together; 0: not told
+
+	read conf
 }
 
 // conf mirrors the JSON object; unknown keys are ignored.
@@ -29,6 +31,7 @@
 	Classes []struct {
 		AimStretch float64 `json:"aim-stretch"`
 		Gain       float64 `json:"gain"`
+		Deadline   *int64  `json:"deadline-us"`
 		KeyScope   string  `json:"key-scope"`
 		Name       string  `json:"name"`
 		Promise    int64   `json:"promise-us"`
@@ -62,7 +65,7 @@
 		ConnectTimeout int64 `json:"connect-timeout-us"`
 		MaxOpen        int   `json:"max-open"`
 		StreamsPerConn int   `json:"streams-per-conn"`
-		MaxAttempts    int   `json:"max-attempts"`
+		MaxAttempts    *int  `json:"max-attempts"`
 		MaxRetryAfter  int64 `json:"max-retry-after-us"`
 		MayCancel      bool  `json:"may-cancel"`
 		SecondCopies   bool  `json:"second-copies"`
@@ -107,8 +110,8 @@
 		Zone: c.Zone, ParentKind: -1, OriginKind: d.RootKind, Instances: c.GroupSize,
 		ZoneRouters: d.CountByZone, ZoneHubs: d.AttachedTo, WeightsTold: c.WeightSource == "nominal" || c.WeightSource == "rough",
 		FlowKBps: d.FlowKBps, LinkKBps: d.PipeKBps, Direct: d.Direct, CanJoin: d.CanJoin,
-		Siblings:    siblings[d.PeersFill],
-		MaxAttempts: c.Limits.MaxAttempts, MayCancel: c.Limits.MayCancel, SecondCopies: c.Limits.SecondCopies,
+		Siblings:  siblings[d.PeersFill],
+		MayCancel: c.Limits.MayCancel, SecondCopies: c.Limits.SecondCopies,
 		MaxComeBack: us(c.Limits.MaxRetryAfter),
 		ColdShare:   c.Rules.StartCapacity,
 		WarmWithin:  us(c.Rules.WarmWithin), FallMultiple: c.Rules.FallMultiple, FallWindow: us(c.Rules.Fall),
@@ -116,6 +119,9 @@
 		ParentFallMultiple: d.ParentLimitFactor,
 		PurgeGrace:         us(d.PurgeSlack), ClearedWithin: us(d.ClearedWithin),
 	}
+	if c.Limits.MaxAttempts != nil {
+		s.MaxAttempts = *c.Limits.MaxAttempts
+	}
 	if d.UpperKind != nil {
 		s.ParentKind = *d.UpperKind
 	}
@@ -132,5 +138,6 @@
 		Policy: s, Zones: c.Areas, Kinds: c.HostTypes,
 		ConnIdle: us(c.Limits.ConnIdle), ConnectTimeout: us(c.Limits.ConnectTimeout),
 		MaxOpen: c.Limits.MaxOpen, StreamsPerConn: c.Limits.StreamsPerConn,
+		read: c,
 	}, nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,7 +74,7 @@
 	open    map[int64]*request
 	objects map[string]time.Duration // moments of purges still remembered
 	groups  map[int]time.Duration
-	work    []mean                          // sending time of each class, seconds
+	work    map[string]*mean                // sending time of each class, by its name, seconds
 	sizes   *simplelru.LRU[uint64, float64] // and of single parts, as answers showed it
 
 	meanWork, meanWorth     mean    // of all requests
@@ -178,18 +178,21 @@
 // New returns a router that knows nothing but its settings.
 func New(set Settings, seed uint64) *Router {
 	sizes, _ := simplelru.NewLRU[uint64, float64](beliefCount, nil)
-	return &Router{
-		set: set, sizes: sizes, rng: rand.New(rand.NewPCG(seed, 0)), members: map[string]*member{},
+	r := &Router{
+		sizes: sizes, rng: rand.New(rand.NewPCG(seed, 0)), members: map[string]*member{},
 		open: map[int64]*request{}, objects: map[string]time.Duration{}, groups: map[int]time.Duration{},
-		gate: gate{size: gateMost}, link: lane{start: 1, cap: 1}, retries: retryBurst,
-		work: make([]mean, len(set.Classes)),
+		gate: gate{size: gateMost}, link: lane{start: 1, cap: 1}, retries: retryBurst, work: map[string]*mean{},
 	}
+	r.observeSettings(set)
+	return r
 }
 
 // Handle takes one event at the clock time now and returns what is to be done.
 func (r *Router) Handle(now time.Duration, ev Event) []Action {
 	r.now, r.out = now, nil
 	switch ev := ev.(type) {
+	case Settings:
+		r.observeSettings(ev)
 	case MemberList:
 		r.observeList(ev)
 	case Purge:
@@ -224,6 +227,15 @@
 
 // ---- observe
 
+// observeSettings keeps what was learned of a class by its name: its number may become another's.
+func (r *Router) observeSettings(set Settings) {
+	r.set = set
+	for _, c := range set.Classes {
+		r.work[c.Name] = cmp.Or(r.work[c.Name], &mean{})
+	}
+	r.sortMembers()
+}
+
 func (r *Router) observeList(list MemberList) {
 	for _, m := range r.members {
 		if list.Whole { // who is not named again is gone
@@ -245,8 +257,7 @@
 	r.sortMembers()
 }
 
-// size sets what a link is taken to carry: its weight where told, else what its users below would draw. What
-// was learned of it, as a share of that, holds on, after a restart too.
+// size sets what a link is taken to carry. What was learned of it, as a share of that, holds on.
 func (l *lane) size(start, routers float64) {
 	l.start, l.cap, l.routers = start, l.cap*start/l.start, routers
 }
@@ -330,10 +341,10 @@
 	q.key = mix(xxhash.Sum64String(told.Object) + uint64(told.Part)*0x9e3779b97f4a7c15)
 	size, sized := r.sizes.Get(q.key)
 	q.sized = sized || told.SizeKB > 0
-	q.work = cmp.Or(size, r.work[told.Class].value, q.class.Aim.Seconds()/4)
+	q.work = cmp.Or(size, r.work[q.class.Name].value, q.class.Aim.Seconds()/4)
 	if told.SizeKB > 0 && r.set.FlowKBps > 0 {
 		q.work = told.SizeKB / r.set.FlowKBps
-		r.work[told.Class].add(q.work, meanCount)
+		r.work[q.class.Name].add(q.work, meanCount)
 	}
 	stretch := time.Duration(q.class.AimStretch * q.work * float64(time.Second))
 	q.deadline = r.now + told.Left
@@ -366,7 +377,8 @@
 	r.observeCopy(a, o)
 	r.observePace(a, o)
 	r.observeSize(a, o)
-	if q.mayRun == a && provenUnrun(o.Result) {
+	unrun := []Result{ResultFull, ResultConnectFailed, ResultMoot, ResultMiss}
+	if q.mayRun == a && slices.Contains(unrun, o.Result) {
 		q.mayRun = nil
 	}
 	if o.Finished || q.finished {
@@ -379,10 +391,6 @@
 // hit says that the answer came from a copy that was there.
 func (o Outcome) hit() bool { return o.Note == NoteHit || o.Note == NoteStale }
 
-func provenUnrun(res Result) bool {
-	return res == ResultFull || res == ResultConnectFailed || res == ResultMoot || res == ResultMiss
-}
-
 // observeHealth blames the one that failed: the target, the source behind it, or the origin behind a parent.
 func (r *Router) observeHealth(a *attempt, o Outcome) {
 	switch {
@@ -555,7 +563,7 @@
 		work = o.Took.Seconds()
 	}
 	if work > 0 && o.Result == ResultOK && q.SizeKB == 0 && !q.class.PassOn {
-		r.work[q.Class].add(work, meanCount)
+		r.work[q.class.Name].add(work, meanCount)
 		r.sizes.Add(q.key, work)
 	}
 }
@@ -681,7 +689,7 @@
 }
 
 // charge is what an attempt costs a cold member: the rules count some at their own size, some at the mean.
-func (r *Router) charge(q *request) float64 { return math.Max(q.work, r.work[q.Class].value) }
+func (r *Router) charge(q *request) float64 { return math.Max(q.work, r.work[q.class.Name].value) }
 
 func (r *Router) isCache(m *member) bool {
 	return m.Kind != r.set.ParentKind && m.Kind != r.set.OriginKind
@@ -815,8 +823,7 @@
 	return r.parentWait.value / r.siblingWait.value
 }
 
-// parent is the hashed parent. The origin comes last in the walk: it fills when no parent is up, or when
-// none can fill in time while the origin can.
+// parent is the hashed parent; the origin comes last in the walk, for when none is up or can fill in time.
 func (r *Router) parent(q *request) *member {
 	return r.companion(q, append(r.ordered(r.parents, q), r.origin))
 }
@@ -852,12 +859,9 @@
 	a.pending = true
 	q.attempts = append(q.attempts, a)
 	q.pending++
-	if q.mayRun == nil {
-		q.mayRun = a
-	}
-	r.out = append(r.out, r.fetch(q, a))
+	q.mayRun = cmp.Or(q.mayRun, a)
 	patience := time.Duration(overdueBy*(wait+a.expected)*float64(time.Second)) + overdue
-	r.out = append(r.out, StartTimer{In: patience, Token: uint64(q.ID)<<8 | uint64(a.number&255)})
+	r.out = append(r.out, r.fetch(q, a), StartTimer{In: patience, Token: uint64(q.ID)<<8 | uint64(a.number&255)})
 }
 
 // expect finds what an attempt will take on each link of its way, and returns the wait for the first byte.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -789,7 +789,7 @@
 // link must not pass for a full link: small requests would be refused more and more.
 func TestUntoldSizesAreLearned(t *testing.T) {
 	g := newRig(t)
-	guess := newRig(t).r.work[0].value
+	guess := newRig(t).r.work[""].value
 	ask := func(id int64, took time.Duration) *member {
 		f := fetchOf(g.do(Request{ID: id, Object: "x", Class: 0, Left: 3 * time.Second}))
 		if f == nil {
@@ -803,7 +803,7 @@
 	for id := range int64(50) {
 		m = ask(id+1, 300*ms)
 	}
-	if got := g.r.work[0].value; guess != 0 || math.Abs(got-0.3) > 0.01 {
+	if got := g.r.work[""].value; guess != 0 || math.Abs(got-0.3) > 0.01 {
 		t.Errorf("%v s learned from answers of 0.3 s, %v before", got, guess)
 	}
 	if m.lane.cap != m.lane.start {
@@ -851,3 +851,39 @@
 		t.Errorf("%s: the slow one is not tried again", got)
 	}
 }
+
+// New settings may give a class's number to another. What is under way keeps its class, what was learned of a class
+// stays with its name, and fewer attempts hold at once.
+func TestNewSettings(t *testing.T) {
+	set := world()
+	for i, name := range []string{"old", "fresh", "write"} {
+		set.Classes[i].Name = name
+	}
+	g := &rig{t: t, r: New(set, 1), n: time.Hour}
+	g.do(everybody())
+	g.serve(1, "x", NoteHit)
+	learned := g.r.work["old"].value
+	write := fetchOf(g.request(2, "y", 2))
+
+	later := set
+	later.Classes = []Class{{Name: "write", Effect: Unsafe, PassOn: true, Worth: 3, Aim: 500 * ms}, set.Classes[0]}
+	later.MaxAttempts = 1
+	g.do(later)
+	if f := fetchOf(g.request(3, "z", 0)); f == nil || f.Target != "o" || f.Target != write.Target {
+		t.Errorf("the write, by its new number: %+v", f)
+	}
+	if g.r.work["old"].value != learned || learned == 0 || g.r.open[2].class.Name != "write" || g.r.open[2].Class != 2 {
+		t.Error("what was learned is gone, or a request has changed its class")
+	}
+	f := fetchOf(g.request(4, "x", 1))
+	if f == nil || f.Target == "o" {
+		t.Fatalf("the read, by its new number: %+v", f)
+	}
+	if acts := g.do(Outcome{ID: 4, Result: ResultFull}); fetchOf(acts) != nil || finals(acts) != 1 {
+		t.Errorf("after the one attempt: %+v", acts)
+	}
+	if acts := g.request(5, "x", 2); finals(acts) != 1 { // a class that is gone
+		t.Errorf("%+v", acts)
+	}
+	g.do(Outcome{ID: 2, Result: ResultOK, Sending: time.Second, Finished: true}) // of the class that had number 2
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -50,7 +50,8 @@
 	SiblingsAny
 )
 
-// Settings is what a router is told at its start. Zero values mean 'not told' and get safe meanings.
+// Settings is what a router is told at its start, and as an event when operators change it. Zero values mean 'not
+// told' and get safe meanings. What is under way keeps its class.
 type Settings struct {
 	Zone        int
 	Classes     []Class
@@ -105,8 +106,8 @@
 	Cell    int
 }
 
-// Event is one thing the router is told: MemberList, Request, Outcome, StreamStarted, Purge, ClientGone
-// or TimerFired.
+// Event is one thing the router is told: Settings, MemberList, Request, Outcome, StreamStarted, Purge,
+// ClientGone or TimerFired.
 type Event interface{ event() }
 
 // MemberList brings the whole list, or changes to it.
@@ -191,6 +192,7 @@
 // TimerFired is a timer that has come due.
 type TimerFired struct{ Token uint64 }
 
+func (Settings) event()      {}
 func (MemberList) event()    {}
 func (Request) event()       {}
 func (Outcome) event()       {}
