--- a/policy/policy.go
+++ b/policy/policy.go
@@ -861,7 +861,7 @@
 	q.pending++
 	q.mayRun = cmp.Or(q.mayRun, a)
 	patience := time.Duration(overdueBy*(wait+a.expected)*float64(time.Second)) + overdue
-	r.out = append(r.out, r.fetch(q, a), StartTimer{In: patience, Token: uint64(q.ID)<<8 | uint64(a.number&255)})
+	r.out = append(r.out, r.fetch(q, a), StartTimer{patience, uint64(q.ID)<<8 | uint64(a.number&255)})
 }
 
 // expect finds what an attempt will take on each link of its way, and returns the wait for the first byte.
