--- a/policy/policy.go
+++ b/policy/policy.go
@@ -179,9 +179,9 @@
 func New(set Settings, seed uint64) *Router {
 	sizes, _ := simplelru.NewLRU[uint64, float64](beliefCount, nil)
 	r := &Router{
-		sizes: sizes, rng: rand.New(rand.NewPCG(seed, 0)), members: map[string]*member{},
+		sizes: sizes, work: map[string]*mean{}, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		open: map[int64]*request{}, objects: map[string]time.Duration{}, groups: map[int]time.Duration{},
-		gate: gate{size: gateMost}, link: lane{start: 1, cap: 1}, retries: retryBurst, work: map[string]*mean{},
+		gate: gate{size: gateMost}, link: lane{start: 1, cap: 1}, members: map[string]*member{},
 	}
 	r.observeSettings(set)
 	return r
