Empty clients' connections at gaps until time is up, and answer all before a kill

Ruled out by log lines: no request was answered 400 or failed, /alive and readiness were never asked of a stopping process, nothing ended at the door.

Now connections are emptied from SIGTERM on where another process takes over, and nothing is refused before 0.5 s before all must be answered (drain: 1.9 s after the call).

The first form of this lost a request, always the same one: taken 2.5 s after SIGTERM and unanswered at the kill 3.36 s after it. Read while looking for it: a connection was closed with output queued, and what came meanwhile was thrown away (TestSlowReaderGetsItsAnswers asks once more), or with input unread (TestUnread).

--- a/cmd/cloverdoor/admin_test.go
+++ b/cmd/cloverdoor/admin_test.go
@@ -163,7 +163,7 @@
 			receive(t, busy.answers, "answer")
 			continue
 		case a := <-busy.answers:
-			if a.id != id || a.protocol != 2 {
+			if a.id != id || a.status != "503" || !strings.Contains(a.headers, "Srv-Wait-Ms: ") {
 				t.Errorf("%+v", a)
 			}
 		}
@@ -205,9 +205,10 @@
 	w.eventually("answers are ready", func() bool { return w.figure(operations("artes", "fulfilled")) == 32 })
 	w.operate("PUT", "/ops/drain/start")
 	time.Sleep(time.Second) // it reads nothing, for longer than the close may be waited for
+	asker.ask(100, "artes", longWait, 100, "")
 	c := newClient(conn)
-	for range 32 {
-		if a := receive(t, c.answers, "answer"); len(a.body) != 240_000 {
+	for range 33 {
+		if a := receive(t, c.answers, "answer"); len(a.body) != 240_000 && a.id != 100 || a.id == 0 {
 			t.Fatalf("%d %s: %d bytes", a.id, a.status, len(a.body))
 		}
 	}
--- a/cmd/cloverdoor/main_test.go
+++ b/cmd/cloverdoor/main_test.go
@@ -544,6 +544,28 @@
 	}
 }
 
+// What is taken while the program stops is answered before it may be killed, however long its client would wait.
+func TestTermEndsInTime(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "one")
+	receive(t, c.answers, "answer")
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	w.awaitAlive("503")
+	c.ask(2, "registro", longWait, 2, "")
+	receive(t, w.origin.calls, "call")
+	if a := receive(t, c.answers, "answer"); a.id != 2 || a.status != "502" {
+		t.Errorf("%+v", a)
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
 // The example must stay one that starts.
 func TestExampleConfiguration(t *testing.T) {
 	env := map[string]string{"BALANCER_CONFIG": "../../example/config.json", "BALANCER_LISTEN": "127.0.0.1:9", "BALANCER_NAME": "n7"}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -81,6 +81,14 @@
 // Backlog is how many bytes wait to be written, and since when none was.
 func (c *Conn) Backlog() (bytes int, since Clock) { return c.queued, c.wrote }
 
+// Unread says whether the peer has sent something that has not been read. To close now would lose it, and it may
+// have waited for longer than the peer would take for a crossing: the process does not always have its core.
+func (c *Conn) Unread() bool {
+	var first [1]byte
+	n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // Write queues bytes; the connection keeps them.
 func (c *Conn) Write(data []byte) {
 	if c.Ended() || len(data) == 0 {
--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -27,6 +27,36 @@
 func (nobody) Receive(data []byte) (int, error) { return len(data), nil }
 func (nobody) Closed(error)                     {}
 
+// What a peer has sent counts as unread until it is taken.
+func TestUnread(t *testing.T) {
+	l, err := NewLoop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Conn{loop: l, fd: pair[0], handler: nobody{}, up: true, events: unix.EPOLLIN}
+	defer c.Close()
+	if c.Unread() {
+		t.Error("nothing was sent")
+	}
+	if _, err := unix.Write(pair[1], []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if !c.Unread() {
+		t.Error("what was sent is not seen")
+	}
+	if c.receive(); c.Unread() {
+		t.Error("it was read")
+	}
+	unix.Close(pair[1]) //nolint:errcheck // its end is what counts
+	if c.Unread() {
+		t.Error("the peer's end is nothing unread")
+	}
+}
+
 // The last use of a connection may end while its message is encoded, and the connection of a server that is gone
 // with it: the rest of the queue is not there any more.
 func TestConnClosedWhileAMessageIsEncoded(t *testing.T) {
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -137,7 +137,7 @@
 func (p *Proxy) startDrain() http1.Response {
 	if p.phase == Serving {
 		p.log.Printf("draining on an operator's order: %d requests open", p.open)
-		p.enter(Draining, drainTime)
+		p.drain()
 	}
 	return p.inPhase(Draining)
 }
@@ -145,7 +145,7 @@
 func (p *Proxy) stopDrain() http1.Response {
 	if p.phase == Draining {
 		p.log.Print("drain ended on an operator's order")
-		p.enter(Serving, 0)
+		p.phase = Serving
 	}
 	return p.inPhase(Serving)
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -101,10 +101,10 @@
 }
 
 // watch looks after connections now and then: those whose peer takes nothing, asks nothing or has vanished are
-// closed, and when clients are to leave all that are done with.
+// closed.
 func (f *Front) watch() {
 	// A shared socket is left at once: what still comes to it waits for the process that takes over.
-	if f.p.Phase() == Stopping && (f.shared || f.p.Leaving()) {
+	if f.p.Phase() == Stopping && f.p.Leaving() {
 		f.listener.Close()
 	}
 	for c := range f.conns {
@@ -113,15 +113,25 @@
 		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
-		case len(c.open) == 0 && (c.owes != 0 && f.p.loop.Now()-c.owes > wholeAfter || c.idle() > idleAfter):
+		case len(c.open) == 0 && !c.conn.Ended() && !c.conn.Unread() &&
+			(c.owes != 0 && f.p.loop.Now()-c.owes > wholeAfter || c.idle() > idleAfter):
 			c.conn.CloseFlushed()
-		case f.p.Leaving():
-			c.closeIfDone()
 		}
 	}
 	f.p.loop.At(f.p.loop.Now()+longestNap, f.watch)
 }
 
+// dismiss closes, while clients are to leave, the connections that are empty now. It comes at the end of a turn, when
+// all that has come was taken and all answers were written: what a client sends while its connection is closed but
+// still has output would be lost.
+func (f *Front) dismiss() {
+	for c := range f.conns {
+		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && !c.conn.Unread() {
+			c.conn.CloseFlushed()
+		}
+	}
+}
+
 // Idle says whether no client is connected any more.
 func (f *Front) Idle() bool { return len(f.conns) == 0 }
 
@@ -147,7 +157,7 @@
 // spare says whether a connection may be closed to make room for another.
 func (c *clientConn) spare() bool {
 	bytes, _ := c.conn.Backlog()
-	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() {
+	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() || c.conn.Unread() {
 		return false
 	}
 	if c.owes == 0 {
@@ -206,7 +216,7 @@
 		case fastcgi.Reply:
 			c.conn.Write(ev.Data)
 			c.last = c.last || ev.Close
-			c.closeIfLeaving()
+			c.closeIfLast()
 		}
 	}
 	return len(data), nil
@@ -239,6 +249,10 @@
 		to.write(fastcgi.Response{Status: 400, Body: []byte(err.Error() + "\n")})
 		return
 	}
+	if c.front.p.late() {
+		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
+		return
+	}
 	c.open[r.ID] = 0 // Submit may answer at once, which takes it out again
 	if number := c.front.p.Submit(in, to); number != 0 {
 		c.open[r.ID] = number
@@ -258,22 +272,22 @@
 	c.answered = c.front.p.loop.Now()
 	c.decoder.Done(id)
 	c.conn.Write(data)
-	c.closeIfLeaving()
-}
-
-func (c *clientConn) closeIfLeaving() {
-	if c.last || c.front.p.Leaving() {
-		c.closeIfDone()
-	}
+	c.closeIfLast()
 }
 
-// closeIfDone closes a connection that has no open request.
-func (c *clientConn) closeIfDone() {
-	if len(c.open) == 0 && !c.decoder.Busy() {
+// closeIfLast closes a connection that its client wants to be closed, once it is empty.
+func (c *clientConn) closeIfLast() {
+	if c.last && c.empty() {
 		c.conn.CloseFlushed()
 	}
 }
 
+// empty says that no request is open.
+func (c *clientConn) empty() bool { return len(c.open) == 0 && !c.decoder.Busy() }
+
+// asking says that the client has just connected, or has begun a record: what it asks would be lost by a close.
+func (c *clientConn) asking() bool { return c.owes != 0 && c.front.p.loop.Now()-c.owes <= spareAfter }
+
 // parse decodes the fields of a request.
 func (f *Front) parse(r *fastcgi.Request) (Request, error) {
 	name, ok := strings.CutPrefix(r.Script, opsPath)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,6 +6,7 @@
 	"log"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"cloverdoor/internal/feed"
@@ -37,12 +38,20 @@
 	// stopTime is how long after the order to stop clients may still come: connections for 0.4 s, requests on
 	// them for 0.2 s more.
 	stopTime = 700 * time.Millisecond
-	// drainTime is the same for a drain: the front asks every 0.1 s, and sends new connections for 0.2 s more.
-	drainTime = 400 * time.Millisecond
-	// lateAfter is how long after that a client may go on with requests on a connection that always has one open.
-	// What comes later is refused, as such a connection would never be empty.
-	lateAfter  = time.Second
-	longestNap = 50 * time.Millisecond // between looks at the order to stop
+	// killTime is how long after the order and the longest deadline the process may be killed, and killLeft what is
+	// kept of that. A deadline longer than mostDeadline counts as that.
+	killTime     = 700 * time.Millisecond
+	killLeft     = 200 * time.Millisecond
+	mostDeadline = 3 * time.Second
+	// drainTime is how long after the order to drain new clients come: the front asks every 0.1 s, and goes on for
+	// 0.2 s.
+	drainTime = 300 * time.Millisecond
+	// drainLate is how long after it requests are taken: 2 s before an operator looks, who allows 4 s in all.
+	drainLate = 1900 * time.Millisecond
+	// lateTime is the same for a stop, counted back from when all must be answered.
+	lateTime   = 500 * time.Millisecond
+	goneIn     = 100 * time.Millisecond // told to those refused meanwhile: their connection is closed soon
+	longestNap = 50 * time.Millisecond  // between looks at the order to stop
 	sweepEvery = time.Second
 	mostOpen   = 4096 // requests open at once; the settings may say fewer
 
@@ -84,7 +93,11 @@
 	pools    *net.Pools
 	fronts   []*Front
 	follower *follower
-	leaveAt  net.Clock // while draining or stopping: when new clients have stopped coming
+
+	// While draining or stopping:
+	leaveAt net.Clock // new clients have stopped coming
+	lateAt  net.Clock // no request is taken any more
+	endBy   net.Clock // all must be answered; 0: at their deadlines
 
 	open              int // requests taken and not ended
 	tallies           tallies
@@ -204,7 +217,7 @@
 	case <-stop:
 		if p.phase < Stopping {
 			p.log.Printf("stopping: %d requests open", p.open)
-			p.enter(Stopping, stopTime)
+			p.stop()
 		}
 	default:
 	}
@@ -213,9 +226,25 @@
 	}
 }
 
-// enter begins a phase; clients may still come for the given time.
-func (p *Proxy) enter(phase Phase, still time.Duration) {
-	p.phase, p.leaveAt = phase, p.loop.Now()+still
+// stop begins the end. What is taken from now on is answered before the process may be killed, whatever its
+// deadline: what a kill finds unanswered is lost.
+func (p *Proxy) stop() {
+	p.phase, p.leaveAt = Stopping, p.loop.Now()+stopTime
+	if p.handsOver() {
+		p.leaveAt = p.loop.Now()
+	}
+	p.endBy = p.loop.Now() + min(mostDeadline, cmp.Or(p.set.Longest, mostDeadline)) + killTime - killLeft
+	p.lateAt = p.endBy - lateTime
+}
+
+// handsOver says that another process may take clients from the sockets of this one: none has to come here any more.
+func (p *Proxy) handsOver() bool {
+	return !slices.ContainsFunc(p.fronts, func(f *Front) bool { return !f.shared })
+}
+
+// drain begins to send clients away.
+func (p *Proxy) drain() {
+	p.phase, p.leaveAt, p.lateAt = Draining, p.loop.Now()+drainTime, p.loop.Now()+drainLate
 }
 
 // Leaving says that clients should go: no more of them are due.
@@ -223,8 +252,9 @@
 	return (p.phase == Draining || p.phase == Stopping) && p.loop.Now() >= p.leaveAt
 }
 
-// late says that clients have had time enough to go.
-func (p *Proxy) late() bool { return p.Leaving() && p.loop.Now() >= p.leaveAt+lateAfter }
+// late says that clients have had time enough to go: what still comes is refused, so that their connections get empty
+// and can be closed. The danger: clients that always have a request open would never leave.
+func (p *Proxy) late() bool { return p.Leaving() && p.loop.Now() >= p.lateAt }
 
 // owes says whether any client still waits for an answer, or for the rest of one.
 func (p *Proxy) owes() bool {
@@ -247,7 +277,12 @@
 		p.consult()
 		p.loop.Flush()
 		if len(p.inbox) == 0 {
-			return
+			break
+		}
+	}
+	if p.Leaving() {
+		for _, f := range p.fronts {
+			f.dismiss()
 		}
 	}
 }
@@ -303,15 +338,17 @@
 // when it was answered at once.
 func (p *Proxy) Submit(in Request, to Responder) int64 {
 	// At these bounds a refusal is all that memory allows; it is harmless, and clients come again.
-	if len(p.requests) >= p.mostOpen || p.held() >= p.mostHeld || p.late() {
-		p.tallies.count(in.Name, throttled)
-		to.Respond(Answer{Status: Overloaded})
+	if len(p.requests) >= p.mostOpen || p.held() >= p.mostHeld {
+		p.turnAway(in, to, Answer{Status: Overloaded})
 		return 0
 	}
 	p.lastID++
 	now := p.loop.Now()
 	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2),
 		safe: p.set.Policy.Classes[in.Class].Effect == policy.Safe}
+	if p.phase == Stopping {
+		q.deadline = max(now, min(q.deadline, p.endBy))
+	}
 	p.requests[q.number] = q
 	p.open++
 	p.bodies += len(q.Body)
@@ -321,6 +358,12 @@
 	return q.number
 }
 
+// turnAway refuses a request that the module does not hear of.
+func (p *Proxy) turnAway(in Request, to Responder, a Answer) {
+	p.tallies.count(in.Name, a.Status.counted())
+	to.Respond(a)
+}
+
 // held is how many bytes are kept for clients and caches together.
 func (p *Proxy) held() int { return p.loop.Held() + p.bodies + p.partial }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	Zones []string // names, by the index that the module uses
 	Kinds []string
 
+	Longest        time.Duration // deadline of all classes; 0: not told
 	ConnIdle       time.Duration // a cache closes a connection left idle for this long
 	ConnectTimeout time.Duration
 	MaxOpen        int // requests that may be open at once; 0: not told
@@ -125,7 +126,11 @@
 	if d.UpperKind != nil {
 		s.ParentKind = *d.UpperKind
 	}
+	var longest time.Duration
 	for i, k := range c.Classes {
+		if k.Deadline != nil {
+			longest = max(longest, us(*k.Deadline))
+		}
 		s.Classes = append(s.Classes, policy.Class{
 			Name: k.Name, Effect: effects[k.Semantics], Scope: scopes[k.KeyScope], Window: us(k.Window),
 			Aim: us(k.Promise), AimStretch: k.AimStretch,
@@ -136,7 +141,7 @@
 	}
 	return Settings{
 		Policy: s, Zones: c.Areas, Kinds: c.HostTypes,
-		ConnIdle: us(c.Limits.ConnIdle), ConnectTimeout: us(c.Limits.ConnectTimeout),
+		Longest: longest, ConnIdle: us(c.Limits.ConnIdle), ConnectTimeout: us(c.Limits.ConnectTimeout),
 		MaxOpen: c.Limits.MaxOpen, StreamsPerConn: c.Limits.StreamsPerConn,
 		read: c,
 	}, nil
