--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -887,3 +887,24 @@
 	}
 	g.do(Outcome{ID: 2, Result: ResultOK, Sending: time.Second, Finished: true}) // of the class that had number 2
 }
+
+// Caches that fail a third of what they are asked, at once and alike, cost nobody an answer: the bound on further
+// attempts is there for overload, not for this.
+func TestEveryThirdAttemptFails(t *testing.T) {
+	g, attempts := newRig(t), 0
+	for id := range int64(300) {
+		g.n += 20 * ms
+		f := fetchOf(g.request(id+1, "x", 0))
+		for f != nil {
+			attempts++
+			if attempts%3 != 0 {
+				g.do(Outcome{ID: id + 1, Attempt: len(g.r.open[id+1].attempts) - 1, Result: ResultOK, Note: NoteHit, Finished: true})
+				break
+			}
+			acts := g.do(Outcome{ID: id + 1, Attempt: len(g.r.open[id+1].attempts) - 1, Result: ResultError})
+			if f = fetchOf(acts); f == nil {
+				t.Fatalf("request %d was given up after %d attempts in all: %+v", id+1, attempts, acts)
+			}
+		}
+	}
+}
