--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 	gateCut    = 0.7   // what a failure leaves of them
 	gateSlow   = 0.85  // and what an answer that waited longer than the aim leaves
 	coldMargin = 0.9   // share of a cold member's budget that is used: routers do not all use theirs up
-	retryShare = 0.6   // further attempts for each request: retries must not feed an overload; a third may fail
+	retryShare = 0.6   // further attempts for each request: a third may fail, but not for good
 	retryBurst = 10.0
 	mostFailed = 3 // attempts that may fail: what no cache can use must not go round all of them
 	errorsDown = 2 // requests in a row failed by one member and answered by another
