Make room only for connections that wait, and give each operator 50 ms for the call

Listener.ready asked for room before each accept, also when nothing waited any more, so that with all 16 places taken each accept closed one caller too many; and among callers of the same turn Admin.room closed any, also the one whose call was still unread.

Now Listener.waiting polls first, which also keeps a socket that another process shares from costing a client its place, and a caller that has had less than 50 ms is not closed for another. Ruled out: the answer's own close (CloseFlushed).

--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -76,7 +76,7 @@
 }
 
 func (ln *Listener) ready(uint32) {
-	for !ln.closed {
+	for !ln.closed && ln.waiting() {
 		if !ln.room() {
 			ln.pause()
 			return
@@ -95,6 +95,14 @@
 	}
 }
 
+// waiting says whether a connection waits to be accepted: room must not be made for none. Another process that shares
+// the socket may have taken the one that woke this one.
+func (ln *Listener) waiting() bool {
+	fds := []unix.PollFd{{Fd: int32(ln.fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
+
 func (ln *Listener) pause() {
 	if err := ln.loop.change(ln.fd, 0); err != nil {
 		return
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -14,6 +14,8 @@
 	mostAdmin = 16
 	// callAfter is how long a caller may take over its call.
 	callAfter = 2 * time.Second
+	// callLeast is how long it has for it at least, however many others come.
+	callLeast = 50 * time.Millisecond
 )
 
 var errSlowCaller = errors.New("call did not come whole in time")
@@ -34,18 +36,21 @@
 	return nil
 }
 
-// room closes the caller that has taken longest over its call when there is no place for another: callers that
-// say nothing must not keep out those that ask.
+// room closes the first caller that has yet to make its call when there is no place for another: callers that say
+// nothing must not keep out those that ask. While none has had its time, others wait to be accepted.
 func (a *Admin) room() bool {
 	if len(a.conns) < mostAdmin {
 		return true
 	}
 	var oldest *adminConn
 	for c := range a.conns {
-		if oldest == nil || c.since < oldest.since {
+		if a.p.loop.Now()-c.since >= callLeast && (oldest == nil || c.since < oldest.since) {
 			oldest = c
 		}
 	}
+	if oldest == nil {
+		return false
+	}
 	oldest.end()
 	return true
 }
