Call a client's copy current only when the server has named that very copy

Need: an answer still_good was passed on for whatever tag it carried, or none; the client then keeps a copy that nobody has named. Read in attempt.answered, which looked only whether the request had a tag at all. The same line ended the whole connection, and with it calls that had nothing to do with it, though the message itself is well formed; ruled out that the codec lets such an answer through in another form.

Change: another tag, or none, fails this one attempt, and its connection goes on. Besides, a call whose request was answered or given up in the same turn is not encoded any more (Encode looked at its own end alone).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
@@ -47,6 +46,10 @@
 	if a.ended {
 		return nil, false
 	}
+	if a.req.finished { // answered or given up since, perhaps in this very turn
+		a.p.end(a, resp.Answer{}, policy.ResultMoot)
+		return nil, false
+	}
 	f, ok := a.p.router.Recheck(a.p.loop.Now(), a.req.number, a.number)
 	if !ok {
 		a.p.end(a, resp.Answer{}, policy.ResultMoot)
@@ -73,11 +76,12 @@
 func (a *attempt) Written() { a.p.tallies.count(a.req.Name, relayed) }
 
 // answered takes the answer to an attempt. The first good one is the request's.
-func (p *Proxy) answered(a *attempt, ans resp.Answer) error {
+func (p *Proxy) answered(a *attempt, ans resp.Answer) {
 	result := results[ans.Word]
-	if ans.Word == resp.StillGood && a.req.Version == "" {
-		p.end(a, resp.Answer{}, policy.ResultError)
-		return errors.New("still_good for a request without a copy")
+	// The danger: the client keeps a copy that nobody has named, and takes it for current. The answer is well formed
+	// all the same: what else is out on the connection is not harmed.
+	if ans.Word == resp.StillGood && (a.req.Version == "" || ans.Tag != a.req.Version) {
+		result = policy.ResultError
 	}
 	if result == policy.ResultOK {
 		status := Served
@@ -87,7 +91,6 @@
 		p.answer(a.req, Answer{Status: status, Tag: ans.Tag, Body: ans.Body})
 	}
 	p.end(a, ans, result)
-	return nil
 }
 
 // A word without a result counts as an error: it may have run.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -65,9 +65,7 @@
 		}
 		used += n
 		if a := u.calls[ans.ID]; a != nil { // else it was given up, and the answer crossed the STOP
-			if err := u.p.answered(a, ans); err != nil {
-				return used, err
-			}
+			u.p.answered(a, ans)
 		}
 	}
 }
