Hear clients that leave at once, and let a crowd rest for 0.1 s only

Seen, clients that leave: Conn.watch stopped reading at 1 MB of unread answers, so neither an ABORT nor a FIN was seen, and a retry could begin at any time after; what was read in one piece with the FIN was begun however late it was read (frozen for 0.15 s, the process sent both requests). connected() wrote in the middle of a turn, before the rest of its news was known. Change: a connection always waits for input and for the peer's end (EPOLLRDHUP), which the front hears of ahead of unread input; the loop knows how old that end may be. 80 ms after it, what is open is answered (a client that only closed its own side gets one whole answer) and stopped. Requests of a client with 1 MB unread are parked, refused at half of their time, served once it reads on. Output goes only at the end of a turn.

Change: rested 0.1 s, silent 50 ms, and only the one chosen is looked into.

Also: a close waits while the peer still takes its answers (SIOCOUTQ), and reads what came before it ends; half a record holds off a dismissal; those that write slowly have 2 s a pause and 10 s in all.

--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -146,6 +146,7 @@
 	follows       chan string // 'follow' lines
 	mu            sync.Mutex
 	feed          net.Conn
+	listener      net.Listener // of the coordinator
 	cache, origin *server
 	exit          chan error
 	log           *os.File // of the program
@@ -244,9 +245,34 @@
 	return old
 }
 
+// silence ends the coordinator and its stream; its address refuses connections until resume.
+func (w *world) silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listener.Close()
+	w.feed.Close()
+}
+
+// resume opens the coordinator again at its address.
+func (w *world) resume() {
+	w.t.Helper()
+	l, err := net.Listen("tcp", w.listener.Addr().String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { l.Close() })
+	w.coordinate(l)
+}
+
 // coordinator starts a coordinator and returns its address.
 func (w *world) coordinator() string {
 	l := listen(w.t)
+	w.coordinate(l)
+	return l.Addr().String()
+}
+
+func (w *world) coordinate(l net.Listener) {
+	w.listener = l
 	go serveEach(l, func(conn net.Conn) {
 		w.mu.Lock()
 		w.feed = conn
@@ -256,7 +282,6 @@
 			w.follows <- in.Text()
 		}
 	})
-	return l.Addr().String()
 }
 
 // program returns a command that starts the program, and the path of its configuration.
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -20,6 +20,17 @@
 	Closed(err error)
 }
 
+// HalfCloser is a handler whose peer may end its own side first. It hears of that ahead of input that has not been
+// read yet: by the time all is read, the peer may have been gone for long.
+type HalfCloser interface {
+	Handler
+	// Leaving is called once, when the peer is seen to send no more. It did so after the given time; 0: not known.
+	Leaving(after Clock)
+	// Ended is called once, when all that the peer sent has been handed over. It says whether output is still
+	// owed: the handler then closes the connection itself when it is not any more.
+	Ended() (owed bool)
+}
+
 // Message is output that is made only when its first byte is about to be written.
 type Message interface {
 	// Encode returns the bytes, or false when the message is not to be sent any more. It may be called again
@@ -38,10 +49,12 @@
 var ErrBacklog = errors.New("peer takes no output")
 
 const (
-	pauseAt    = 1 << 20  // queued output at which no more is read from that peer
-	mostQueued = 16 << 20 // at which the connection is given up
+	mostQueued = 16 << 20 // queued output at which the connection is given up
+	mostJoined = 16 << 10 // bytes up to which small outputs are kept as one: each apart would cost more than it holds
+	mostReads  = 16       // of one connection in one turn, while each fills the buffer
 
-	lingerFor = 200 * time.Millisecond // how long the peer's end of a closed connection is waited for
+	lingerFor  = 200 * time.Millisecond // how long the peer's end of a closed connection is waited for
+	lingerMost = 10 * time.Second       // and how long at most, while it still takes what it is owed
 )
 
 // Conn is one non-blocking TCP connection.
@@ -57,7 +70,11 @@
 	up      bool
 	closed  bool
 	dirty   bool
-	closing bool // no more is taken either way; closed when the peer has closed too
+	closing bool  // no more is taken either way; closed when the peer has closed too
+	leaving bool  // the peer has been seen to send no more
+	ended   bool  // and all that it sent has been handed over
+	came    Clock // an accepted connection was made after this; 0: not known
+	since   Clock // when it was made or accepted
 	heard   Clock
 	wrote   Clock
 }
@@ -81,6 +98,9 @@
 // Backlog is how many bytes wait to be written, and since when none was.
 func (c *Conn) Backlog() (bytes int, since Clock) { return c.queued, c.wrote }
 
+// Pending is how many bytes have been received and not used yet: part of a message.
+func (c *Conn) Pending() int { return len(c.in) }
+
 // Unread says whether the peer has sent something that has not been read. To close now would lose it, and it may
 // have waited for longer than the peer would take for a crossing: the process does not always have its core.
 func (c *Conn) Unread() bool {
@@ -108,8 +128,20 @@
 	if c.queued == 0 {
 		c.wrote = c.loop.now
 	}
-	c.queue = append(c.queue, o)
 	c.count(len(o.data))
+	c.flushLater()
+	if n := len(c.queue); n > 0 && o.msg == nil {
+		if last := &c.queue[n-1]; last.msg == nil && last.written == nil && len(last.data)+len(o.data) <= mostJoined {
+			last.data = append(last.data, o.data...)
+			return
+		}
+	}
+	c.queue = append(c.queue, o)
+}
+
+// flushLater has the queue written at the end of the turn: all that has come in it is known by then, and a message
+// may be void.
+func (c *Conn) flushLater() {
 	if !c.dirty {
 		c.dirty = true
 		c.loop.dirty = append(c.loop.dirty, c)
@@ -149,14 +181,43 @@
 // shutdown begins the wait for the peer's end only when all that was queued has gone: a peer that reads slowly
 // would else lose the rest of an answer.
 func (c *Conn) shutdown() {
-	c.loop.At(c.loop.now+lingerFor, func() { c.fail(io.EOF) })
+	if c.ended { // nothing can be unread
+		c.fail(io.EOF)
+		return
+	}
 	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
 		c.fail(fmt.Errorf("shutdown: %w", err))
 		return
 	}
+	c.linger(c.loop.now + lingerMost)
 	c.watch()
 }
 
+// linger closes after a while, though the peer has not closed. The danger: a close over unread bytes resets the
+// connection, and a peer that still takes its answers would lose the rest of them.
+func (c *Conn) linger(end Clock) {
+	c.loop.At(c.loop.now+lingerFor, func() {
+		switch {
+		case c.closed:
+		case c.Untaken() > 0 && c.loop.now < end:
+			c.linger(end)
+		default:
+			if c.receive(); !c.closed {
+				c.fail(io.EOF)
+			}
+		}
+	})
+}
+
+// Untaken is how many bytes the peer has not acknowledged of those that were written.
+func (c *Conn) Untaken() int {
+	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func (c *Conn) fail(err error) {
 	if c.closed {
 		return
@@ -172,14 +233,38 @@
 	if !c.up {
 		c.connected()
 	}
-	if c.up && !c.closed && events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+	const broken = unix.EPOLLHUP | unix.EPOLLERR
+	if half, ok := c.handler.(HalfCloser); ok && c.up && !c.closed && !c.closing {
+		if events&unix.EPOLLERR != 0 || c.ended && events&broken != 0 { // what it sent before is not wanted any more
+			c.fail(unix.ECONNRESET)
+			return
+		}
+		if events&unix.EPOLLRDHUP != 0 {
+			c.left(half)
+		}
+	}
+	if c.up && !c.closed && !c.ended && events&(unix.EPOLLIN|unix.EPOLLRDHUP|broken) != 0 {
 		c.receive()
 	}
 	if c.up && !c.closed && events&unix.EPOLLOUT != 0 {
-		c.flush()
+		c.flushLater()
 	}
 }
 
+// left tells the handler, once, that the peer sends no more. One that did so before the last look at it would have
+// been seen then, unless it was not looked at yet.
+func (c *Conn) left(half HalfCloser) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	after := c.loop.looked
+	if c.since >= after {
+		after = c.came
+	}
+	half.Leaving(after)
+}
+
 // connected looks at how a connect ended.
 func (c *Conn) connected() {
 	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
@@ -195,33 +280,55 @@
 	}
 	c.loop.Stop(c.timeout)
 	c.up, c.heard, c.wrote = true, c.loop.now, c.loop.now
-	c.flush()
+	c.flushLater()
 }
 
-// receive reads once and hands over all that is held.
+// receive takes what has come. A connection that brings much is read on, within bounds: a client may have taken back
+// further on what it asks for first.
 func (c *Conn) receive() {
-	if c.closing { // the peer's end of a closed conversation
-		if n, err := unix.Read(c.fd, c.loop.read); n == 0 || err != nil && !retry(err) {
-			c.fail(io.EOF)
+	for range mostReads {
+		n, err := unix.Read(c.fd, c.loop.read)
+		switch {
+		case err != nil && retry(err):
+			return
+		case err != nil:
+			c.fail(fmt.Errorf("read: %w", err))
+			return
+		case n == 0:
+			c.end()
+			return
+		}
+		if !c.closing { // else it crossed the close
+			c.take(c.loop.read[:n])
+		}
+		if c.closed || n < len(c.loop.read) {
+			return
 		}
-		return
 	}
-	n, err := unix.Read(c.fd, c.loop.read)
-	switch {
-	case err != nil && retry(err):
-		return
-	case err != nil:
-		c.fail(fmt.Errorf("read: %w", err))
-		return
-	case n == 0:
+}
+
+// end takes the peer's end of a conversation.
+func (c *Conn) end() {
+	if half, ok := c.handler.(HalfCloser); ok && !c.closing {
+		if c.left(half); c.closed {
+			return
+		}
+		if half.Ended() {
+			c.ended = true
+			c.flushLater()
+			return
+		}
+	}
+	if !c.closed {
 		c.fail(io.EOF)
-		return
 	}
+}
+
+func (c *Conn) take(data []byte) {
 	c.heard = c.loop.now
-	data := c.loop.read[:n]
 	if len(c.in) > 0 {
 		c.in = append(c.in, data...)
-		c.loop.held += n
+		c.loop.held += len(data)
 		data = c.in
 	}
 	c.handOver(data)
@@ -309,12 +416,14 @@
 	return true, nil
 }
 
-// watch asks epoll for what the connection waits for: room for output, and input unless the peer leaves too
-// much of ours unread.
+// watch asks epoll for what the connection waits for: input and the peer's end, until that has come, and room for
+// output. Input is waited for also when the peer leaves ours unread: it may take back what it asked for, or leave.
 func (c *Conn) watch() {
-	events := uint32(unix.EPOLLIN)
-	if c.queued >= pauseAt {
+	events := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if c.ended {
 		events = 0
+	} else if c.leaving || c.closing {
+		events = unix.EPOLLIN
 	}
 	if !c.up || len(c.queue) > 0 {
 		events |= unix.EPOLLOUT
@@ -336,7 +445,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{loop: l, fd: fd, handler: h, events: unix.EPOLLOUT, heard: l.now, wrote: l.now}
+	c := &Conn{loop: l, fd: fd, handler: h, events: unix.EPOLLOUT, since: l.now, heard: l.now, wrote: l.now}
 	err = unix.Connect(fd, sockaddr(addr))
 	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd) //nolint:errcheck // the connect's error is what counts
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -20,6 +20,7 @@
 	room   func() bool
 	accept func(*Conn) Handler
 	closed bool
+	behind bool // connections have been left waiting: it is not known since when
 }
 
 // Listen accepts connections on addr alone, as long as room finds room for one more; the others wait to be
@@ -76,6 +77,7 @@
 }
 
 func (ln *Listener) ready(uint32) {
+	defer func() { ln.behind = !ln.closed && ln.waiting() }()
 	for !ln.closed && ln.waiting() {
 		if !ln.room() {
 			ln.pause()
@@ -116,7 +118,10 @@
 
 func (ln *Listener) take(fd int) {
 	l := ln.loop
-	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN, heard: l.now, wrote: l.now}
+	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN | unix.EPOLLRDHUP, since: l.now, heard: l.now, wrote: l.now}
+	if !ln.behind {
+		c.came = l.looked
+	}
 	c.handler = ln.accept(c)
 	err := errors.Join(
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -25,6 +25,8 @@
 	timers timers
 	start  time.Time
 	now    Clock
+	looked Clock   // when the last look at all that is ready ended: what is new in this turn came after it
+	whole  bool    // the last look was at all
 	dirty  []*Conn // with output queued in this turn
 	held   int     // bytes held in all buffers and queues
 	read   []byte  // shared by all reads
@@ -61,6 +63,9 @@
 // Wait sleeps until something is ready, the next timer is due or most has passed, and runs the callbacks of all
 // that is ready.
 func (l *Loop) Wait(most time.Duration) error {
+	if l.whole {
+		l.looked = l.now
+	}
 	l.tick()
 	if len(l.timers) > 0 {
 		most = min(most, l.timers[0].at-l.now)
@@ -71,6 +76,7 @@
 		return fmt.Errorf("epoll_wait: %w", err)
 	}
 	l.tick()
+	l.whole = n >= 0 && n < len(l.events) // a signal, also one that had stopped the process, cuts the look short
 	for _, ev := range l.events[:max(n, 0)] {
 		// Looked up by number: one closed earlier in this turn is not there any more.
 		if p := l.fds[int(ev.Fd)]; p != nil {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,13 +22,25 @@
 	// idleAfter is when a connection that brings nothing and is owed nothing is closed. Clients close theirs
 	// after 4 s, so one that stays would keep its descriptor for good.
 	idleAfter = 5 * time.Second
-	// wholeAfter is how long a client may take over its first request, or over the rest of one.
+	// wholeAfter is how long a client may pause over its first request, or over the rest of one, and wholeMost how
+	// long it may take in all: some write slowly.
 	wholeAfter = 2 * time.Second
-	// spareAfter is when one that has not sent a whole request yet may have to make room for another: a client
-	// that means well asks as soon as it is connected, and would lose its request.
+	wholeMost  = 10 * time.Second
+	// spareAfter is when one that paused in the middle of a request may have to make room for another: it would lose
+	// its request.
 	spareAfter = 250 * time.Millisecond
-	// restedAfter is the same for one that is owed nothing: those in steady use rest for less.
-	restedAfter = time.Second
+	// goneAfter is how long after a client has left what it asked for is given up. Nothing may begin for it after
+	// 0.1 s; at once would take the answers from one that has only ended its own side.
+	goneAfter = 80 * time.Millisecond
+	// parkAt is how many bytes of answers a client may leave unread before its further requests wait.
+	parkAt = 1 << 20
+	// restedAfter is the same for one that is owed nothing: a request that crosses the close within 50 ms is sent
+	// again. The danger of a longer time: clients that ask once and stay, a few hundred a second, hold all places for
+	// as long, and others wait to be accepted.
+	restedAfter = 100 * time.Millisecond
+	// muteAfter is the same for one that has said nothing yet: a client that means well asks as soon as it is
+	// connected.
+	muteAfter = 50 * time.Millisecond
 )
 
 var errFull = errors.New("memory for clients is used up")
@@ -38,6 +52,7 @@
 	listener *net.Listener
 	shared   bool // another process may accept from the same socket
 	conns    map[*clientConn]bool
+	parking  map[*clientConn]bool // those with parked requests
 	most     int
 }
 
@@ -58,8 +73,7 @@
 }
 
 func (p *Proxy) newFront(most int) *Front {
-	f := &Front{p: p, conns: map[*clientConn]bool{}, most: most}
-	return f
+	return &Front{p: p, conns: map[*clientConn]bool{}, parking: map[*clientConn]bool{}, most: most}
 }
 
 func (f *Front) open(ln *net.Listener, err error) error {
@@ -81,13 +95,20 @@
 		return true
 	}
 	var spare *clientConn
-	for c := range f.conns {
-		if c.spare() && (spare == nil || c.missedLess(spare)) {
-			spare = c
+	unread := map[*clientConn]bool{}
+	for {
+		for c := range f.conns {
+			if !unread[c] && c.spare() && (spare == nil || c.missedLess(spare)) {
+				spare = c
+			}
 		}
-	}
-	if spare == nil {
-		return false
+		if spare == nil {
+			return false
+		}
+		if !spare.conn.Unread() {
+			break
+		}
+		unread[spare], spare = true, nil
 	}
 	spare.conn.Close()
 	spare.Closed(nil)
@@ -108,13 +129,14 @@
 		f.listener.Close()
 	}
 	for c := range f.conns {
+		c.refuseParked(f.p.loop.Now())
 		bytes, since := c.conn.Backlog()
 		switch {
 		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
 		case len(c.open) == 0 && !c.conn.Ended() && !c.conn.Unread() &&
-			(c.owes != 0 && f.p.loop.Now()-c.owes > wholeAfter || c.idle() > idleAfter):
+			(c.owes != 0 && (c.idle() > wholeAfter || f.p.loop.Now()-c.owes > wholeMost) || c.idle() > idleAfter):
 			c.conn.CloseFlushed()
 		}
 	}
@@ -126,7 +148,7 @@
 // still has output would be lost.
 func (f *Front) dismiss() {
 	for c := range f.conns {
-		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && !c.conn.Unread() {
+		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && c.conn.Pending() == 0 && !c.conn.Unread() {
 			c.conn.CloseFlushed()
 		}
 	}
@@ -143,6 +165,8 @@
 	open    map[uint16]int64 // the proxy's number of each open request
 	partial int              // bytes of requests that have not come whole
 	last    bool             // the client asked for no further request on it
+	parked  []parked         // requests that wait until the client has read more
+	goneBy  net.Clock        // from when on nothing begins for a client that has left; 0: it has not
 
 	asked    int       // requests that came whole
 	owes     net.Clock // since when the client owes its first request, or the rest of one; 0: it does not
@@ -154,31 +178,41 @@
 	return c.front.p.loop.Now() - max(c.conn.Heard(), c.answered)
 }
 
+// partly says whether a request has come in part.
+func (c *clientConn) partly() bool { return c.conn.Pending() > 0 || c.decoder.Receiving() }
+
 // spare says whether a connection may be closed to make room for another.
 func (c *clientConn) spare() bool {
 	bytes, _ := c.conn.Backlog()
-	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() || c.conn.Unread() {
+	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() {
 		return false
 	}
-	if c.owes == 0 {
-		return c.idle() > restedAfter
-	}
-	return c.front.p.loop.Now()-c.owes > spareAfter
+	return c.idle() > [...]time.Duration{muteAfter, restedAfter, spareAfter}[c.missed()]
 }
 
-// missedLess compares spare connections.
+// missedLess compares spare connections: those that have said nothing go first, those in the middle of a request last.
 func (c *clientConn) missedLess(other *clientConn) bool {
-	if silent := c.asked == 0; silent != (other.asked == 0) {
-		return silent
+	if a, b := c.missed(), other.missed(); a != b {
+		return a < b
 	}
 	return c.idle() > other.idle()
 }
 
+func (c *clientConn) missed() int {
+	switch {
+	case c.partly():
+		return 2
+	case c.asked > 0:
+		return 1
+	}
+	return 0
+}
+
 // Receive takes whole records off what has come in.
 func (c *clientConn) Receive(data []byte) (used int, err error) {
 	asked := c.asked
 	used, err = c.records(data)
-	c.count(c.decoder.Held())
+	c.recount()
 	switch unfinished := used < len(data) || c.decoder.Receiving(); {
 	case !unfinished && c.asked > 0:
 		c.owes = 0
@@ -201,6 +235,14 @@
 	c.partial = held
 }
 
+func (c *clientConn) recount() {
+	held := c.decoder.Held()
+	for _, r := range c.parked {
+		held += len(r.request.Body)
+	}
+	c.count(held)
+}
+
 func (c *clientConn) records(data []byte) (used int, err error) {
 	for !c.conn.Ended() {
 		n, ev, err := c.decoder.Decode(data[used:])
@@ -228,10 +270,93 @@
 	for _, number := range c.open {
 		c.front.p.Abandon(number)
 	}
-	c.open = nil
+	c.open, c.parked = nil, nil
+	delete(c.front.parking, c)
 	c.count(0)
 }
 
+// Leaving notes that the client sends no more. It has closed, most likely, and nothing must begin for it long after. It
+// may also wait for its answers all the same: it gets what can be had at once.
+func (c *clientConn) Leaving(after net.Clock) {
+	c.goneBy = max(1, after+goneAfter)
+	c.front.p.loop.At(c.goneBy, c.giveUp)
+}
+
+func (c *clientConn) gone() bool { return c.goneBy != 0 && c.front.p.loop.Now() >= c.goneBy }
+
+// giveUp ends what is open for a client that has left.
+func (c *clientConn) giveUp() {
+	c.refuseParked(math.MaxInt64)
+	for _, number := range c.open {
+		c.front.p.GiveUp(number)
+	}
+}
+
+// Ended says whether the client is still owed something; it is closed when it is not any more.
+func (c *clientConn) Ended() (owed bool) {
+	c.last = true
+	if bytes, _ := c.conn.Backlog(); len(c.open) == 0 && bytes == 0 {
+		return false
+	}
+	if len(c.open) == 0 {
+		c.conn.CloseFlushed()
+	}
+	return true
+}
+
+// parked is a request of a client that leaves its answers unread. It is not served yet, but known: its client may take
+// it back, or leave.
+type parked struct {
+	request *fastcgi.Request
+	in      Request
+	at      net.Clock
+}
+
+func (c *clientConn) park(r *fastcgi.Request, in Request) {
+	c.open[r.ID] = 0
+	c.parked = append(c.parked, parked{r, in, c.front.p.loop.Now()})
+	c.front.parking[c] = true
+}
+
+// refuseParked refuses the parked requests that have waited for half of their time: later, a refusal costs more.
+func (c *clientConn) refuseParked(now net.Clock) {
+	for len(c.parked) > 0 && now-c.parked[0].at >= c.parked[0].in.Wait/2 {
+		r := c.unpark()
+		c.front.p.turnAway(r.in, &responder{conn: c, id: r.request.ID}, Answer{Status: Refused, ComeBack: goneIn})
+	}
+}
+
+func (c *clientConn) unpark() parked {
+	r := c.parked[0]
+	if c.parked = c.parked[1:]; len(c.parked) == 0 {
+		delete(c.front.parking, c)
+	}
+	c.recount()
+	return r
+}
+
+// unpark takes on what was parked, as far as clients have read meanwhile.
+func (f *Front) unpark() {
+	for c := range f.parking {
+		for len(c.parked) > 0 && !c.full() {
+			r := c.unpark()
+			to := &responder{conn: c, id: r.request.ID}
+			in, err := f.parse(r.request) // once more: classes may have changed
+			if err != nil || f.p.late() {
+				f.p.turnAway(r.in, to, Answer{Status: Refused, ComeBack: goneIn})
+				continue
+			}
+			in.Wait -= f.p.loop.Now() - r.at
+			c.serve(in, to)
+		}
+	}
+}
+
+func (c *clientConn) full() bool {
+	bytes, _ := c.conn.Backlog()
+	return bytes >= parkAt
+}
+
 func (c *clientConn) request(r *fastcgi.Request) {
 	c.asked++
 	c.last = c.last || !r.KeepConn
@@ -245,23 +370,32 @@
 		return
 	}
 	in, err := c.front.parse(r)
-	if err != nil {
+	switch {
+	case err != nil:
 		to.write(fastcgi.Response{Status: 400, Body: []byte(err.Error() + "\n")})
-		return
-	}
-	if c.front.p.late() {
+	case c.gone(), c.front.p.late():
 		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
-		return
+	case c.full(), len(c.parked) > 0:
+		c.park(r, in)
+	default:
+		c.serve(in, to)
 	}
-	c.open[r.ID] = 0 // Submit may answer at once, which takes it out again
+}
+
+// serve takes on a request.
+func (c *clientConn) serve(in Request, to *responder) {
+	c.open[to.id] = 0 // Submit may answer at once, which takes it out again
 	if number := c.front.p.Submit(in, to); number != 0 {
-		c.open[r.ID] = number
+		c.open[to.id] = number
 	}
 }
 
 // abort ends a request that its client gave up. FastCGI wants END_REQUEST for it, as the number is in use
 // until then; there is no other answer.
 func (c *clientConn) abort(id uint16) {
+	if c.parked = slices.DeleteFunc(c.parked, func(r parked) bool { return r.request.ID == id }); len(c.parked) == 0 {
+		delete(c.front.parking, c)
+	}
 	c.front.p.Abandon(c.open[id])
 	c.done(id, fastcgi.AppendEnd(nil, id, 1, fastcgi.Complete))
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -276,6 +276,9 @@
 	for {
 		p.consult()
 		p.loop.Flush()
+		for _, f := range p.fronts {
+			f.unpark()
+		}
 		if len(p.inbox) == 0 {
 			break
 		}
@@ -376,6 +379,23 @@
 	}
 }
 
+// GiveUp answers a request whose client has probably left, and stops what is out for it. A client that has only ended
+// its own side learns what to make of it.
+func (p *Proxy) GiveUp(number int64) {
+	q := p.requests[number]
+	if q == nil || q.finished {
+		return
+	}
+	status := Refused
+	for _, a := range q.attempts {
+		if a.started && !q.safe { // it may have run
+			status = Failed
+		}
+	}
+	p.answer(q, Answer{Status: status})
+	p.tell(policy.ClientGone{ID: number})
+}
+
 // expire ends what is still out when a request's time is over; the module then gives the final answer. One that
 // it holds without an attempt is failed here: every request gets its answer in time.
 func (p *Proxy) expire(q *request) {
