--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -95,7 +95,7 @@
 
 func listen(t *testing.T) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback(1))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,10 +103,29 @@
 	return l
 }
 
+// loopback is a port 0 of an address of this test process's own: connections go out from 127.0.0.1, and may there take
+// the port that the program, or a coordinator that comes back, is about to open.
+func loopback(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8&0x7f, pid&0xff, host)
+}
+
+// given are the addresses that freeAddr has handed out.
+var given sync.Map
+
+// freeAddr returns an address for the program to listen on.
 func freeAddr(t *testing.T) string {
-	l := listen(t)
-	defer l.Close()
-	return l.Addr().String()
+	t.Helper()
+	for {
+		l, err := net.Listen("tcp", loopback(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		if _, taken := given.LoadOrStore(l.Addr().String(), true); !taken {
+			return l.Addr().String()
+		}
+	}
 }
 
 func serveEach(l net.Listener, serve func(net.Conn)) {
