Let many routers take turns at a cold member, and look at repeats' time at the first byte

Seen with a fleet of routers in a test: withinColdBudget divides by the routers, so 300 of them sent a cold cache nothing until it was warm; and 20 of which seven in ten restarted sent 26 too many, as a new process knew nothing of what it had sent. Charges counted from the decision, though a connection may come up late. Change: where a router's part of a window is under a request, turn hands out a third of the budget by time since the told start, each router from its own place (its number times the golden ratio). For members that started before it, a router waits for one window after its own start. A charge counts from the first byte, which Recheck learns of. A keyed repeat that waited for its connection until after its window was begun: Recheck now looks again.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,7 @@
 		UpperKind         *int      `json:"upper-kind"`
 	} `json:"domain"`
 	GroupSize int      `json:"group-size"`
+	Index     int      `json:"index"`
 	HostTypes []string `json:"host-types"`
 	Limits    struct {
 		ConnIdle       int64 `json:"conn-idle-us"`
@@ -108,7 +109,7 @@
 	}
 	d := c.Domain
 	s := policy.Settings{
-		Zone: c.Zone, ParentKind: -1, OriginKind: d.RootKind, Instances: c.GroupSize,
+		Zone: c.Zone, ParentKind: -1, OriginKind: d.RootKind, Instances: c.GroupSize, Index: c.Index,
 		ZoneRouters: d.CountByZone, ZoneHubs: d.AttachedTo, WeightsTold: c.WeightSource == "nominal" || c.WeightSource == "rough",
 		FlowKBps: d.FlowKBps, LinkKBps: d.PipeKBps, Direct: d.Direct, CanJoin: d.CanJoin,
 		Siblings:  siblings[d.PeersFill],
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	gateCut    = 0.7   // what a failure leaves of them
 	gateSlow   = 0.85  // and what an answer that waited longer than the aim leaves
 	coldMargin = 0.9   // share of a cold member's budget that is used: routers do not all use theirs up
+	turnShare  = 0.33  // of that, given out in turns: those of two windows may meet in one
 	retryShare = 0.6   // further attempts for each request: a third may fail, but not for good
 	retryBurst = 10.0
 	mostFailed = 3 // attempts that may fail: what no cache can use must not go round all of them
@@ -64,6 +65,7 @@
 	set     Settings
 	rng     *rand.Rand
 	now     time.Duration
+	born    time.Duration // when it was told something first
 	out     []Action
 	members map[string]*member
 	caches  []*member // of the own zone, by id
@@ -72,8 +74,7 @@
 	link    lane // the zone's link in
 	gate    gate // the origin's
 	open    map[int64]*request
-	objects map[string]time.Duration // moments of purges still remembered
-	groups  map[int]time.Duration
+	purges  map[any]time.Duration           // moments of those still remembered, by object or group
 	work    map[string]*mean                // sending time of each class, by its name, seconds
 	sizes   *simplelru.LRU[uint64, float64] // and of single parts, as answers showed it
 
@@ -93,11 +94,10 @@
 	beliefs *simplelru.LRU[uint64, belief]
 	charges []*attempt // what it was sent lately, kept while it is cold
 
-	doubts   int // health: suspicions in a row
-	errors   int // requests in a row that it failed and another answered
-	until    time.Duration
-	heard    time.Duration
-	answered time.Duration // when the last sent of its answered attempts was sent
+	doubts       int // health: suspicions in a row
+	errors       int // requests in a row that it failed and another answered
+	until, heard time.Duration
+	answered     time.Duration // when the last sent of its answered attempts was sent
 }
 
 // belief is what an answer told of a copy: when it was filled, and when it was last heard of.
@@ -113,9 +113,8 @@
 
 // ratio is the paper's estimator of a misindication ratio (Section VIII-B).
 type ratio struct {
-	asked, lacked int
-	value         float64
-	epochs        int
+	asked, lacked, epochs int
+	value                 float64
 }
 
 // lane is a link as this router sees it: the one-client transfers that it carries at full pace, this router's
@@ -143,18 +142,16 @@
 // request is one client request from its arrival to its final answer.
 type request struct {
 	Request
-	class    *Class
-	key      uint64
-	work     float64 // sending time of one transfer, seconds
-	sized    bool    // it is known; else it is the mean of the class
-	aim      time.Duration
-	deadline time.Duration
-	attempts []*attempt
-	pending  int
-	failed   int      // attempts
-	mayRun   *attempt // the first attempt that is not proven not to have run
-	finished bool
-	avoid    map[*member]bool // lacks it, failed or kept silent
+	class           *Class
+	key             uint64
+	work            float64 // sending time of one transfer, seconds
+	sized           bool    // it is known; else it is the mean of the class
+	aim, deadline   time.Duration
+	attempts        []*attempt
+	pending, failed int      // of them
+	mayRun          *attempt // the first attempt that is not proven not to have run
+	finished        bool
+	avoid           map[*member]bool // lacks it, failed or kept silent
 }
 
 type attempt struct {
@@ -162,17 +159,15 @@
 	number         int
 	target, source *member
 	lanes          []*lane
-	sent           time.Duration
-	takes          float64 // sending time expected of the target's link, seconds
-	expected       float64 // and of the slowest link of the way, if it has to be filled
-	slowest        *lane   // that link
-	crowded        bool    // a link of the way was held to be
-	miss           float64 // how likely a fill is
+	sent, begun    time.Duration // decided, and its first byte written, as far as known
+	takes          float64       // sending time expected of the target's link, seconds
+	expected       float64       // and of the slowest link of the way, if it has to be filled
+	slowest        *lane         // that link
+	crowded        bool          // a link of the way was held to be
+	miss           float64       // how likely a fill is
 	pending        bool
-	failed         bool // it may have run, and brought no answer
-	gated          bool // may make the origin work
-	heldOnly       bool // the source gives only what it holds
-	hit            bool // the target is believed to hold it
+	failed, gated  bool // it may have run, and brought no answer; it may make the origin work
+	heldOnly, hit  bool // the source gives only what it holds; the target is believed to hold it
 }
 
 // New returns a router that knows nothing but its settings.
@@ -180,7 +175,7 @@
 	sizes, _ := simplelru.NewLRU[uint64, float64](beliefCount, nil)
 	r := &Router{
 		sizes: sizes, work: map[string]*mean{}, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
-		open: map[int64]*request{}, objects: map[string]time.Duration{}, groups: map[int]time.Duration{},
+		open: map[int64]*request{}, purges: map[any]time.Duration{},
 		gate: gate{size: gateMost}, link: lane{start: 1, cap: 1}, members: map[string]*member{},
 	}
 	r.observeSettings(set)
@@ -189,7 +184,7 @@
 
 // Handle takes one event at the clock time now and returns what is to be done.
 func (r *Router) Handle(now time.Duration, ev Event) []Action {
-	r.now, r.out = now, nil
+	r.now, r.born, r.out = now, cmp.Or(r.born, now), nil
 	switch ev := ev.(type) {
 	case Settings:
 		r.observeSettings(ev)
@@ -211,18 +206,20 @@
 	return r.out
 }
 
-// Recheck is asked when the first byte of an attempt is about to be written. It returns the attempt's orders
-// as they are now, or false when it must not go: its member may be drained by now, its copy purged.
+// Recheck is asked when an attempt's first byte is about to be written. It returns its orders as they are by
+// now, or false when it must not go: its member may be drained, its copy purged, the time for repeats over.
 func (r *Router) Recheck(now time.Duration, id int64, number int) (Fetch, bool) {
 	r.now = now
 	q := r.open[id]
 	if q == nil || q.finished || number >= len(q.attempts) || !q.attempts[number].pending {
 		return Fetch{}, false
 	}
-	if a := q.attempts[number]; a.target.State == Ready && a.source.State == Ready {
-		return r.fetch(q, a), true
+	a := q.attempts[number]
+	if a.target.State != Ready || a.source.State != Ready || q.mayRun != a && !r.mayRepeat(q, a.target) {
+		return Fetch{}, false
 	}
-	return Fetch{}, false
+	a.begun = now
+	return r.fetch(q, a), true
 }
 
 // ---- observe
@@ -266,8 +263,7 @@
 // above to carry passedUp of the one below. One thought to grow with the routers is pushed over when cold.
 func (r *Router) sortMembers() {
 	r.caches, r.parents, r.origin = nil, nil, nil
-	all, zone := 0.0, 0.0
-	instances := float64(max(1, r.set.Instances))
+	all, zone, instances := 0.0, 0.0, float64(max(1, r.set.Instances))
 	zoneRouters := instances
 	if r.set.Zone < len(r.set.ZoneRouters) {
 		zoneRouters = float64(max(1, r.set.ZoneRouters[r.set.Zone]))
@@ -313,23 +309,19 @@
 // observePurge remembers the purge for as long as an older copy or a belief in one may be about.
 func (r *Router) observePurge(p Purge) {
 	moment, memory := r.now-p.Age, max(beliefAge, r.set.ClearedWithin+r.set.PurgeGrace)
-	over := func(at time.Duration) bool { return r.now-at > memory }
-	maps.DeleteFunc(r.objects, func(_ string, at time.Duration) bool { return over(at) })
-	maps.DeleteFunc(r.groups, func(_ int, at time.Duration) bool { return over(at) })
-	if p.Object != "" {
-		r.objects[p.Object] = max(moment, r.objects[p.Object])
-	} else {
-		r.groups[p.Group] = max(moment, r.groups[p.Group])
+	maps.DeleteFunc(r.purges, func(_ any, at time.Duration) bool { return r.now-at > memory })
+	key := any(p.Object)
+	if p.Object == "" {
+		key = p.Group
 	}
+	r.purges[key] = max(moment, r.purges[key])
 }
 
 // purgedAt returns the moment of the last purge that a copy for q must be younger than.
 func (r *Router) purgedAt(q *request) (time.Duration, bool) {
-	at, known := r.objects[q.Object]
-	if group, ok := r.groups[q.Group]; ok && (!known || group > at) {
-		at, known = group, true
-	}
-	return at, known
+	object, purged := r.purges[q.Object]
+	group, voided := r.purges[q.Group]
+	return max(object, group), purged || voided
 }
 
 func (r *Router) observeRequest(told Request) {
@@ -474,17 +466,15 @@
 	if !filled || o.SourceWait <= 0 {
 		return
 	}
-	wait := o.SourceWait.Seconds()
+	waited, tier := a.source, &r.parentWait
 	if o.Note == NoteFilledByOrigin && r.origin != nil {
-		r.origin.wait.add(wait, waitCount)
-	} else {
-		a.source.wait.add(wait, waitCount) // a wait for the origin is not the parent's doing
+		waited = r.origin // a wait for the origin is not the parent's doing
 	}
 	if sibling {
-		r.siblingWait.add(wait, waitCount)
-	} else {
-		r.parentWait.add(wait, waitCount)
+		tier = &r.siblingWait
 	}
+	waited.wait.add(o.SourceWait.Seconds(), waitCount)
+	tier.add(o.SourceWait.Seconds(), waitCount)
 }
 
 func (r *Router) believe(m *member, q *request, filled bool) {
@@ -499,10 +489,9 @@
 // believes says whether m is believed to hold a copy that will still do for q.
 func (r *Router) believes(m *member, q *request) bool {
 	b, ok := m.beliefs.Peek(q.key)
-	if at, purged := r.purgedAt(q); !ok || purged && at >= b.filled {
-		return false
-	}
-	return r.now-b.told < beliefAge && (q.class.Fresh == 0 || r.now-b.filled < q.class.Fresh)
+	at, purged := r.purgedAt(q)
+	return ok && (!purged || at < b.filled) && r.now-b.told < beliefAge &&
+		(q.class.Fresh == 0 || r.now-b.filled < q.class.Fresh)
 }
 
 func (r *ratio) count(lacked bool) {
@@ -569,8 +558,8 @@
 }
 
 func (l *lane) learn(better float64) {
-	l.cap *= math.Pow(min(max(better, 0.5), 2), capSmooth)
-	l.cap = min(max(l.cap, l.start/capRange), l.start*capRange)
+	learned := l.cap * math.Pow(min(max(better, 0.5), 2), capSmooth)
+	l.cap = min(max(learned, l.start/capRange), l.start*capRange)
 }
 
 // fullness is how many sending times work more takes, shared with what is under way.
@@ -672,6 +661,7 @@
 }
 
 // withinColdBudget keeps a cold member from being pushed over: this router's part of what it surely bears.
+// What was sent before this router's own start is not known to it.
 func (r *Router) withinColdBudget(m *member, q *request) bool {
 	warm := r.warmth(m)
 	if warm >= 1 {
@@ -679,13 +669,28 @@
 		return true
 	}
 	_, _, multiple := r.coldFigures(m)
-	window := max(r.set.FallWindow, time.Second)
-	sum := r.charge(q)
-	m.charges = slices.DeleteFunc(m.charges, func(c *attempt) bool { return r.now-c.sent > window })
+	window, weight := max(r.set.FallWindow, time.Second), r.charge(q)
+	m.charges = slices.DeleteFunc(m.charges, func(c *attempt) bool { return r.now-c.begun > window })
+	sum := weight
 	for _, c := range m.charges {
 		sum += r.charge(c.req)
 	}
-	return sum <= coldMargin*multiple*warm*min(m.lane.cap, m.lane.start)/m.lane.routers*window.Seconds()
+	part := coldMargin * multiple * min(m.lane.cap, m.lane.start) / m.lane.routers
+	return (m.Started >= r.born || r.now-r.born >= window) &&
+		(sum <= part*warm*window.Seconds() || sum == weight && r.turn(m, window, weight/(part*turnShare)))
+}
+
+// turn says whether it is this router's turn to send a cold member one request, which takes so many seconds
+// of its part. Where a window's part is less, none would ever send, or all at the same time: they take turns
+// from the told start on, each from its own place, and a turn lasts for a window.
+func (r *Router) turn(m *member, window time.Duration, takes float64) bool {
+	share, within, _ := r.coldFigures(m)
+	turns := func(at time.Duration) float64 {
+		age := max(at-m.Started, 0).Seconds()
+		warmed := age * (share + (1-share)*age/within.Seconds()/2)
+		return math.Floor(math.Mod(float64(r.set.Index)*math.Phi, 1) + warmed/takes)
+	}
+	return turns(r.now) > turns(r.now-window)
 }
 
 // charge is what an attempt costs a cold member: the rules count some at their own size, some at the mean.
@@ -784,8 +789,7 @@
 		return nil
 	}
 	var best *member
-	lowest := math.Inf(1)
-	mean := r.meanRho()
+	lowest, mean := math.Inf(1), r.meanRho()
 	for _, m := range r.ordered(r.caches, q) {
 		// Routers rank siblings alike: one whose link is full already is not asked too (herding).
 		if m == target || q.avoid[m] || !r.believes(m, q) || !r.usable(m, q) || !r.healthy(m) ||
@@ -793,7 +797,7 @@
 			continue
 		}
 		rho := m.rho.value
-		if m.rho.asked == 0 && m.rho.epochs == 0 {
+		if m.rho.asked+m.rho.epochs == 0 {
 			rho = mean
 		}
 		if rho < lowest {
@@ -809,7 +813,7 @@
 func (r *Router) meanRho() float64 {
 	sum, n := 0.0, 0.0
 	for _, m := range r.caches {
-		if m.rho.asked > 0 || m.rho.epochs > 0 {
+		if m.rho.asked+m.rho.epochs > 0 {
 			sum, n = sum+m.rho.value, n+1
 		}
 	}
@@ -832,7 +836,8 @@
 
 // attempt sends q to target; every send, charge and time-out is made here.
 func (r *Router) attempt(q *request, target, source *member) {
-	a := &attempt{req: q, number: len(q.attempts), target: target, source: source, sent: r.now}
+	a := &attempt{req: q, number: len(q.attempts), target: target, source: source, slowest: &target.lane}
+	a.sent, a.begun = r.now, r.now
 	wait := r.expect(a)
 	if !r.isCache(source) && !a.hit && !q.class.PassOn { // may make the origin work
 		a.gated = float64(r.gate.under) < r.gate.size && r.rng.Float64() < r.gate.size
@@ -867,24 +872,22 @@
 // expect finds what an attempt will take on each link of its way, and returns the wait for the first byte.
 func (r *Router) expect(a *attempt) (wait float64) {
 	q := a.req
-	a.lanes = []*lane{&a.target.lane}
-	a.takes = a.target.lane.takes(r.now, q.work, r.warmth(a.target))
-	a.crowded = a.target.lane.fullness(r.now, q.work, r.warmth(a.target)) >= stretched
-	a.expected, a.slowest, a.hit = a.takes, &a.target.lane, r.isCache(a.target) && r.believes(a.target, q)
-	if q.class.PassOn || a.hit {
+	use := func(l *lane, warm float64) (takes float64) {
+		a.lanes = append(a.lanes, l)
+		a.crowded = a.crowded || l.fullness(r.now, q.work, warm) >= stretched
+		if takes = l.takes(r.now, q.work, warm); takes > a.expected {
+			a.slowest, a.expected = l, takes
+		}
+		return takes
+	}
+	a.takes = use(&a.target.lane, r.warmth(a.target))
+	if a.hit = r.isCache(a.target) && r.believes(a.target, q); q.class.PassOn || a.hit {
 		return 0
 	}
 	a.miss = 1
 	if r.isCache(a.target) && r.miss.count > 0 {
 		a.miss = r.miss.value
 	}
-	use := func(l *lane, warm float64) {
-		a.lanes = append(a.lanes, l)
-		a.crowded = a.crowded || l.fullness(r.now, q.work, warm) >= stretched
-		if takes := l.takes(r.now, q.work, warm); takes > a.expected {
-			a.slowest, a.expected = l, takes
-		}
-	}
 	if !r.isCache(a.target) || !r.isCache(a.source) {
 		use(&r.link, 1)
 	}
@@ -912,12 +915,10 @@
 	if q.class.PassOn {
 		return f
 	}
-	f.Keep = 1
+	f.Keep, f.Join, f.HeldOnly = 1, r.set.CanJoin, a.heldOnly
 	if slices.ContainsFunc(r.caches, func(m *member) bool { return m.beliefs.Contains(q.key) }) {
 		f.Keep = 2 // asked for before: kept longer than what came once
 	}
-	f.Join = r.set.CanJoin
-	f.HeldOnly = a.heldOnly
 	f.Renew = q.class.Fresh > 0 && !a.heldOnly
 	if (a.number > 0 || a.heldOnly) && q.class.Fresh > 0 {
 		f.MaxAge = q.class.Fresh + q.class.Grace
@@ -978,9 +979,9 @@
 	spent := left <= 0 || len(q.attempts) >= cmp.Or(r.set.MaxAttempts, 2) || r.retries < 1
 	if spent || q.failed >= mostFailed || !r.mayRepeat(q, a.target) {
 		r.finishUnserved(q)
-		return
+	} else {
+		r.decide(q)
 	}
-	r.decide(q)
 }
 
 // mayRepeat says whether another attempt at m is harmless. A keyed request that may have run goes only to
--- a/policy/types.go
+++ b/policy/types.go
@@ -58,6 +58,7 @@
 	ParentKind  int // -1: no parents
 	OriginKind  int
 	Instances   int   // routers of this tier in all
+	Index       int   // this router's number among them, from 0
 	ZoneRouters []int // routers by zone
 	ZoneHubs    []int // the hub that each zone is tied to, by its place in the ring of hubs; empty: not told
 	WeightsTold bool  // weights count one-client transfers
