--- a/cmd/cloverdoor/endings_test.go
+++ b/cmd/cloverdoor/endings_test.go
@@ -209,3 +209,307 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// An answer that stopped short stays on its connection: the next call there would be taken for the rest of it.
+func TestConnectionWithHalfAnAnswerIsNotUsedAgain(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "registro", longWait, 1, "x")
+	first := receive(t, w.origin.calls, "call")
+	thaw := w.freeze()
+	fmt.Fprintf(first.conn, "*4\r\n$16\r\n%s\r\n$6\r\nserved\r\n$1\r\n-\r\n$900\r\nhalf", first.words[1])
+	c.record(2, 1, "")
+	thaw()
+	receive(t, c.answers, "END_REQUEST")
+	c.ask(2, "registro", longWait, 2, "x")
+	second := receive(t, w.origin.calls, "call")
+	if second.conn == first.conn {
+		t.Error("the connection with half an answer is used again")
+	}
+	second.answer("served", "-", "fine")
+	if a := receive(t, c.answers, "answer"); a.id != 2 || a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Second, late and wrongly named answers harm nobody: neither the request that they are for, nor the next one on their
+// connection.
+func TestSecondAndStrayAnswersAreIgnored(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	stray := &call{words: []string{"", "ffffffffffffffff"}}
+	for i := range 5 {
+		c.ask(1, "artes", longWait, i, "")
+		got := receive(t, w.cache.calls, "call")
+		out := &batch{Conn: got.conn}
+		stray.conn = out
+		stray.answer("served", "-", "stray")
+		first := &call{conn: out, words: got.words}
+		first.answer("served", "-", "first")
+		first.answer("served", "-", "second")
+		first.answer("crashed", "-", "")
+		out.flush()
+		if a := receive(t, c.answers, "answer"); a.body != "first" {
+			t.Errorf("%+v", a)
+		}
+		first.conn = got.conn
+		first.answer("served", "-", "late") // may cross the next call
+	}
+	if len(w.cache.calls)+len(w.origin.calls)+len(c.answers) != 0 {
+		t.Error("something was sent or answered again")
+	}
+}
+
+// A drain counts though the line that told it was cut in half as the stream died: it is told again, whole.
+func TestDrainInHalfALine(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	w.tell(list(2, false, member("c2", "std", "edge", "SERVING", second)))
+	drain := `{"index":3,"endpoints":{"version":3,"full":false,"servers":[{"id":"c1","addr":"` + w.cache.Addr().String() +
+		`","zone":"edge","kind":"std","state":"DRAINING","weight":10000}]}}`
+	w.mu.Lock()
+	fmt.Fprint(w.feed, drain[:len(drain)/2])
+	w.feed.Close()
+	w.mu.Unlock()
+	if got := receive(t, w.follows, "follow"); got != "follow 2" {
+		t.Errorf("%q", got)
+	}
+	w.tell(drain)
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// heeds waits until all that was told has been taken.
+func (w *world) heeds() {
+	w.t.Helper()
+	w.tell("nonsense") // is answered by following anew
+	receive(w.t, w.follows, "follow")
+}
+
+// servedOnlyBy checks that reads of all kinds of objects are answered with one body.
+func (w *world) servedOnlyBy(body string) {
+	w.t.Helper()
+	c := w.dial()
+	for i := range 30 {
+		c.ask(1, "artes", longWait, i, "")
+		if a := receive(w.t, c.answers, "answer"); a.body != body {
+			w.t.Errorf("object %d: %+v", i, a)
+		}
+	}
+	if len(w.cache.calls) > 0 {
+		w.t.Errorf("%q was sent to a cache that drains", (<-w.cache.calls).words)
+	}
+}
+
+// A stream that goes on and on without ending a line is as good as silent.
+func TestEndlessLineIsGivenUp(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	w.mu.Lock()
+	feed := w.feed
+	w.mu.Unlock()
+	go func() {
+		for _, err := fmt.Fprint(feed, `{"index":2,`); err == nil; _, err = fmt.Fprint(feed, " ") {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	if got := receive(t, w.follows, "follow anew"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+}
+
+// An entry that can't be read may have told of a drain: its server gets nothing new.
+func TestUnreadableEntryCountsAsGone(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	broken := member("c1", "std", "edge", "DRAINING", w.cache)
+	broken["addr"] = "nowhere"
+	w.tell(list(2, false, broken, member("c2", "std", "edge", "SERVING", second)))
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// A whole list that leaves a server out says that it is gone, just after a reload too.
+func TestWholeListAfterAReload(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	old := w.feed
+	w.reload(old.LocalAddr().String(), w.coordinator())
+	receive(t, w.follows, "follow")
+	w.tell(list(2, true, member("c2", "std", "edge", "SERVING", second), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// A restarted process serves at once by the list in its configuration, though discovery is down.
+func TestReadyWithDiscoveryDown(t *testing.T) {
+	w := prepare(t)
+	w.cache.serve("served", "-", "fine")
+	w.down = true
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	w.resume()
+	if got := receive(t, w.follows, "follow"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+}
+
+func (w *world) signal(signals ...os.Signal) {
+	w.t.Helper()
+	for _, s := range signals {
+		if err := w.cmd.Process.Signal(s); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
+
+// noMoreTaken waits until the program has stopped listening: clients are sent away from then on.
+func (w *world) noMoreTaken() {
+	w.t.Helper()
+	w.eventually("no more connections taken", func() bool {
+		conn, err := net.Dial("tcp", w.addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+}
+
+// A request of which a few bytes have come when the program stops is waited for, and answered.
+func TestHalfARequestWhileStopping(t *testing.T) {
+	for _, part := range []int{3, 16, 60} { // of a header, just BEGIN_REQUEST, and in the parameters
+		w := newWorld(t)
+		w.cache.serve("served", "-", "fine")
+		c := w.dial()
+		c.ask(1, "artes", longWait, 1, "")
+		receive(t, c.answers, "answer")
+		out := &batch{Conn: c.Conn}
+		(&client{Conn: out}).ask(2, "artes", longWait, 2, "")
+		rest := out.out[part:]
+		out.out = out.out[:part]
+		out.flush()
+		w.signal(syscall.SIGTERM)
+		w.awaitAlive("503")
+		w.noMoreTaken()
+		c.Write(rest) //nolint:errcheck // shows in the answers
+		if a := receive(t, c.answers, "answer"); a.id != 2 || a.body != "fine" && a.status != "503" {
+			t.Errorf("%d bytes before the stop: %+v", part, a)
+		}
+		if err := receive(t, w.exit, "exit"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// What waits to be accepted when the program stops listening is still taken.
+func TestWaitingConnectionWhileStopping(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	w.signal(syscall.SIGTERM)
+	w.awaitAlive("503")
+	thaw := w.freeze()
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	time.Sleep(time.Second) // not a race: by the time it goes on, it listens no longer
+	thaw()
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that reads slowly gets all that it is owed when the program stops.
+func TestSlowReaderWhileStopping(t *testing.T) {
+	w := newWorld(t)
+	conn, out := unreading(w)
+	out.answer("served", "-", "last")
+	w.signal(syscall.SIGTERM)
+	w.awaitAlive("503")
+	w.noMoreTaken()
+	c := newClient(conn)
+	for range 32 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" || a.id != 99 && len(a.body) != 240_000 {
+			t.Errorf("%d: %s, %d bytes", a.id, a.status, len(a.body))
+		}
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
+// New settings and the order to stop, both at once: what is open is answered, and the program ends in good order.
+func TestReloadThenStop(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	open := receive(t, w.cache.calls, "call")
+	thaw := w.freeze()
+	w.reload(`"max-attempts":8`, `"max-attempts":7`)
+	w.signal(syscall.SIGTERM)
+	c.ask(2, "artes", longWait, 2, "")
+	thaw()
+	receive(t, w.cache.calls, "call").answer("served", "-", "two")
+	open.answer("served", "-", "one")
+	for range 2 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" {
+			t.Errorf("%+v", a)
+		}
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A request that came while the process did not run is served, though its connection has been idle for long enough to
+// be closed; one that comes after the close is not sent on.
+func TestRequestsAroundAnIdleClose(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	early, after := w.dial(), w.dial()
+	for _, c := range []*client{early, after} {
+		c.ask(1, "artes", longWait, 1, "")
+		receive(t, w.cache.calls, "call").answer("served", "-", "fine")
+		receive(t, c.answers, "answer")
+	}
+	thaw := w.freeze()
+	time.Sleep(5500 * time.Millisecond) // not a race: both have been idle for too long by then
+	early.ask(2, "artes", longWait, 2, "")
+	thaw()
+	receive(t, w.cache.calls, "call").answer("served", "-", "early")
+	if a := receive(t, early.answers, "answer"); a.body != "early" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, after.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+	after.ask(2, "artes", longWait, 3, "")
+	early.ask(3, "artes", longWait, 4, "")
+	if got := receive(t, w.cache.calls, "call"); got.fields["k"] != fmt.Sprintf("%016x", 4) {
+		t.Errorf("%q was sent on after the close", got.words)
+	}
+}
+
+// Where the settings allow no advice, a refusal gives none.
+func TestNoAdviceWhereNoneIsAllowed(t *testing.T) {
+	w := newWorld(t)
+	w.reload(`"second-copies":true`, `"retry-after":false,"second-copies":true`)
+	w.eventually("taken over", func() bool { return w.figure("svc_cfg_accepted") == 1 })
+	w.origin.Close()
+	c := w.dial()
+	c.ask(1, "registro", longWait, 1, "x")
+	if a := receive(t, c.answers, "answer"); a.status != "503" || strings.Contains(a.headers, "Srv-Wait-Ms") {
+		t.Errorf("%+v", a)
+	}
+}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -166,6 +166,7 @@
 	mu            sync.Mutex
 	feed          net.Conn
 	listener      net.Listener // of the coordinator
+	down          bool         // it is down at the start
 	cache, origin *server
 	exit          chan error
 	log           *os.File // of the program
@@ -291,7 +292,11 @@
 }
 
 func (w *world) coordinate(l net.Listener) {
-	w.listener = l
+	if w.listener = l; w.down {
+		w.down = false
+		l.Close()
+		return
+	}
 	go serveEach(l, func(conn net.Conn) {
 		w.mu.Lock()
 		w.feed = conn
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -68,6 +68,9 @@
 	return ln, nil
 }
 
+// Accept takes what waits now.
+func (ln *Listener) Accept() { ln.ready(0) }
+
 // Close stops accepting.
 func (ln *Listener) Close() {
 	if !ln.closed {
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	silentAfter    = 2500 * time.Millisecond // the coordinator says something every second
+	silentAfter = 2500 * time.Millisecond // the coordinator says something every second
+	// lineAfter is how long a line may take to come whole, a list in many pieces for example. What the coordinator
+	// has to tell counts as told after 7 s, whether it came or not.
+	lineAfter      = 4 * time.Second
 	feedTimeout    = 500 * time.Millisecond
 	refollowAfter  = 100 * time.Millisecond // doubles with each attempt that brought nothing
-	refollowAtMost = time.Second
+	refollowAtMost = 400 * time.Millisecond // drains may follow at once when the coordinator is back
 )
 
 var (
@@ -30,6 +33,7 @@
 	last  int64 // number of the last event that was taken
 	conn  *net.Conn
 	since net.Clock  // when conn was begun
+	whole net.Clock  // when it last brought a whole line, or was begun
 	again *net.Timer // of the next connect, while there is no conn
 	pause time.Duration
 }
@@ -58,7 +62,7 @@
 }
 
 func (f *follower) connect() {
-	f.since = f.p.loop.Now()
+	f.since, f.whole = f.p.loop.Now(), f.p.loop.Now()
 	conn, err := f.p.loop.Dial(f.addr, feedTimeout, f)
 	if err != nil {
 		f.Closed(err)
@@ -68,9 +72,11 @@
 	conn.Write(feed.Follow(f.last))
 }
 
-// watch notices a stream that has gone silent, as that of a machine that was cut off does.
+// watch notices a stream that has gone silent, as that of a machine that was cut off does, or that goes on without ever
+// ending a line: a drain in the middle of it would not be heeded.
 func (f *follower) watch() {
-	if f.conn != nil && f.p.loop.Now()-max(f.conn.Heard(), f.since) > silentAfter {
+	now := f.p.loop.Now()
+	if f.conn != nil && (now-max(f.conn.Heard(), f.since) > silentAfter || now-f.whole > lineAfter) {
 		f.conn.Close()
 		f.Closed(errSilent)
 	}
@@ -85,6 +91,7 @@
 			return used, err
 		}
 		used += n
+		f.whole = f.p.loop.Now()
 		ev, err := feed.Decode(line)
 		if err != nil {
 			return used, err
@@ -110,13 +117,14 @@
 	return nil
 }
 
-// Closed follows the stream anew, after a pause.
+// Closed follows the stream anew, after a pause. Its length differs between processes: all of them lose a coordinator
+// at the same time, and would else come back in step.
 func (f *follower) Closed(err error) {
 	f.conn = nil
 	if f.pause == refollowAfter { // one line for each outage
 		f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
 	}
-	f.again = f.p.loop.At(f.p.loop.Now()+f.pause, f.connect)
+	f.again = f.p.loop.At(f.p.loop.Now()+f.pause/2+time.Duration(f.p.rng.Int64N(int64(f.pause/2))), f.connect)
 	f.pause = min(2*f.pause, refollowAtMost)
 }
 
@@ -145,8 +153,9 @@
 	for _, s := range list.Servers {
 		m, addr, err := p.member(s)
 		if err != nil {
-			p.log.Printf("server %s left out: %v", s.ID, err)
-			continue
+			// What can't be read can't be used, and it may have told of a drain.
+			p.log.Printf("server %s counts as gone: %v", s.ID, err)
+			m.State = policy.Gone
 		}
 		named[s.ID] = m.State != policy.Gone
 		members.Members = append(members.Members, m)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -126,6 +126,9 @@
 func (f *Front) watch() {
 	// A shared socket is left at once: what still comes to it waits for the process that takes over.
 	if f.p.Phase() == Stopping && f.p.Leaving() {
+		if !f.shared { // on its own one, what waits to be accepted would be reset
+			f.listener.Accept()
+		}
 		f.listener.Close()
 	}
 	for c := range f.conns {
@@ -144,11 +147,12 @@
 }
 
 // dismiss closes, while clients are to leave, the connections that are empty now. It comes at the end of a turn, when
-// all that has come was taken and all answers were written: what a client sends while its connection is closed but
-// still has output would be lost.
+// all that has come was taken and all answers have been written and have arrived: what a client sends while its
+// connection is closed but still brings output would be lost.
 func (f *Front) dismiss() {
 	for c := range f.conns {
-		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && c.conn.Pending() == 0 && !c.conn.Unread() {
+		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && c.conn.Pending() == 0 &&
+			c.conn.Untaken() == 0 && !c.conn.Unread() {
 			c.conn.CloseFlushed()
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"slices"
@@ -78,6 +79,7 @@
 	class  map[string]int // by name: its number in the settings
 	flow   float64        // bytes a second of one transfer; 0: not told
 	log    *log.Logger
+	rng    *rand.Rand
 	phase  Phase
 
 	inbox    []policy.Event // of this turn, for the module
@@ -137,6 +139,7 @@
 func New(loop *net.Loop, cfg Config, logger *log.Logger) *Proxy {
 	p := &Proxy{
 		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), log: logger,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 		requests: map[int64]*request{}, servers: map[string]int64{},
 		sockets: UpstreamSockets(cfg.Sockets), mostHeld: cfg.Memory / 4,
 	}
@@ -364,7 +367,7 @@
 // turnAway refuses a request that the module does not hear of.
 func (p *Proxy) turnAway(in Request, to Responder, a Answer) {
 	p.tallies.count(in.Name, a.Status.counted())
-	to.Respond(a)
+	to.Respond(p.advised(a))
 }
 
 // held is how many bytes are kept for clients and caches together.
@@ -417,7 +420,15 @@
 	}
 	p.finish(q)
 	p.tallies.count(q.Name, a.Status.counted())
-	q.to.Respond(a)
+	q.to.Respond(p.advised(a))
+}
+
+// advised leaves the advice to stay away out of an answer where the settings do not allow it.
+func (p *Proxy) advised(a Answer) Answer {
+	if p.set.NoAdvice {
+		a.ComeBack = 0
+	}
+	return a
 }
 
 func (p *Proxy) finish(q *request) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,8 +20,9 @@
 	Longest        time.Duration // deadline of all classes; 0: not told
 	ConnIdle       time.Duration // a cache closes a connection left idle for this long
 	ConnectTimeout time.Duration
-	MaxOpen        int // requests that may be open at once; 0: not told
-	StreamsPerConn int // attempts that one connection carries together; 0: not told
+	MaxOpen        int  // requests that may be open at once; 0: not told
+	StreamsPerConn int  // attempts that one connection carries together; 0: not told
+	NoAdvice       bool // refused clients are not told when to come again
 
 	read conf
 }
@@ -69,6 +70,7 @@
 		StreamsPerConn int   `json:"streams-per-conn"`
 		MaxAttempts    *int  `json:"max-attempts"`
 		MaxRetryAfter  int64 `json:"max-retry-after-us"`
+		RetryAfter     *bool `json:"retry-after"`
 		MayCancel      bool  `json:"may-cancel"`
 		SecondCopies   bool  `json:"second-copies"`
 	} `json:"limits"`
@@ -144,6 +146,7 @@
 		Policy: s, Zones: c.Areas, Kinds: c.HostTypes,
 		Longest: longest, ConnIdle: us(c.Limits.ConnIdle), ConnectTimeout: us(c.Limits.ConnectTimeout),
 		MaxOpen: c.Limits.MaxOpen, StreamsPerConn: c.Limits.StreamsPerConn,
-		read: c,
+		NoAdvice: c.Limits.RetryAfter != nil && !*c.Limits.RetryAfter,
+		read:     c,
 	}, nil
 }
