Refuse what was read after its client's time, and finish answers to clients that close first

Seen, each with a test that fails without its mend: - A process that did not run for a while took a request's time from when it read it: frozen for 0.6 s, it sent a request of 0.5 s on. The loop knows when it last looked at all sockets, and what is read after a longer pause has waited for so long: its time is shortened, and it is refused when that is over (Front.request). - When both sides close and answers are still queued, the peer's FIN ended the connection with them (Conn.end). Besides: four descriptors fewer for caches, as the operators' 16, the coordinator and the program's own files would not have fitted into the least limit of 64.

--- a/cmd/cloverdoor/endings_test.go
+++ b/cmd/cloverdoor/endings_test.go
@@ -513,3 +513,66 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// A request that was read so late that its client's time is over is refused at once, and sent nowhere.
+func TestRequestReadTooLateIsRefused(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "fine")
+	receive(t, c.answers, "answer")
+	thaw := w.freeze()
+	c.ask(2, "artes", 500, 2, "")
+	c.ask(3, "artes", longWait, 3, "")
+	time.Sleep(600 * time.Millisecond) // not a race: it is by this that the first one's time is over
+	thaw()
+	if a := receive(t, c.answers, "refusal"); a.id != 2 || a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if got := receive(t, w.cache.calls, "call"); got.fields["k"] != fmt.Sprintf("%016x", 3) {
+		t.Errorf("%q was sent though its time was over", got.words)
+	}
+}
+
+// A client that reads slowly and has ended its own side gets all answers that were given before, and one final answer
+// to what was still open.
+func TestHalfClosedSlowReader(t *testing.T) {
+	w := newWorld(t)
+	conn, _ := unreading(w)
+	c := &client{conn, make(chan answer, 1000)}
+	c.closeWrite()
+	receive(t, w.cache.stops, "STOP")
+	go c.read()
+	for range 31 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Errorf("%+v", a)
+		}
+	}
+	if a := receive(t, c.answers, "answer"); a.id != 99 || a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, c.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that asks for its connection to be closed, and closes its own side first, still gets what it has not read.
+func TestClosedOnBothSidesWithAnswersUnread(t *testing.T) {
+	w := newWorld(t)
+	conn, _ := unreading(w)
+	c := &client{conn, make(chan answer, 1000)}
+	c.record(1, 100, "\x00\x01\x00\x00\x00\x00\x00\x00") // without KEEP_CONN
+	c.record(4, 100, "\x0b\x06SCRIPT_NAME/alive")
+	c.record(4, 100, "")
+	c.record(5, 100, "")
+	c.record(2, 99, "")
+	receive(t, w.cache.stops, "STOP") // nothing is open any more: the program closes
+	c.closeWrite()
+	w.awaitAlive("200") // by now it has seen that
+	go c.read()
+	for range 31 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Fatalf("%d %s %d bytes", a.id, a.status, len(a.body))
+		}
+	}
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -234,14 +234,13 @@
 		c.connected()
 	}
 	const broken = unix.EPOLLHUP | unix.EPOLLERR
-	if half, ok := c.handler.(HalfCloser); ok && c.up && !c.closed && !c.closing {
-		if events&unix.EPOLLERR != 0 || c.ended && events&broken != 0 { // what it sent before is not wanted any more
-			c.fail(unix.ECONNRESET)
-			return
-		}
-		if events&unix.EPOLLRDHUP != 0 {
-			c.left(half)
-		}
+	half, isHalf := c.handler.(HalfCloser)
+	switch {
+	case !c.up || c.closed:
+	case c.ended && events&broken != 0, isHalf && events&unix.EPOLLERR != 0:
+		c.fail(unix.ECONNRESET) // what it sent before is not wanted any more
+	case isHalf && !c.closing && events&unix.EPOLLRDHUP != 0:
+		c.left(half)
 	}
 	if c.up && !c.closed && !c.ended && events&(unix.EPOLLIN|unix.EPOLLRDHUP|broken) != 0 {
 		c.receive()
@@ -309,6 +308,11 @@
 
 // end takes the peer's end of a conversation.
 func (c *Conn) end() {
+	if c.closing && len(c.queue) > 0 { // it still takes what it is owed
+		c.ended = true
+		c.flushLater()
+		return
+	}
 	if half, ok := c.handler.(HalfCloser); ok && !c.closing {
 		if c.left(half); c.closed {
 			return
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -53,6 +53,15 @@
 // Now is the clock time of this turn.
 func (l *Loop) Now() Clock { return l.now }
 
+// Stalled is for how much longer than a nap the loop has not looked at what is ready: the process does not always have
+// its core, and what is read in this turn may have waited for as long.
+func (l *Loop) Stalled(nap time.Duration) time.Duration {
+	if l.looked == 0 {
+		return 0
+	}
+	return max(0, l.now-l.looked-nap)
+}
+
 // Held is how many bytes all connections hold, received and not used or queued and not written.
 func (l *Loop) Held() int { return l.held }
 
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -382,12 +382,17 @@
 	case c.full(), len(c.parked) > 0:
 		c.park(r, in)
 	default:
+		in.Wait -= c.front.p.loop.Stalled(longestNap) // its client has been waiting for it
 		c.serve(in, to)
 	}
 }
 
-// serve takes on a request.
+// serve takes on a request. One whose time is over already is refused: no answer would come in time.
 func (c *clientConn) serve(in Request, to *responder) {
+	if in.Wait <= 0 {
+		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
+		return
+	}
 	c.open[to.id] = 0 // Submit may answer at once, which takes it out again
 	if number := c.front.p.Submit(in, to); number != 0 {
 		c.open[to.id] = number
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -174,8 +174,9 @@
 // ClientSockets is the part of the descriptors that clients may hold: they keep to a third.
 func ClientSockets(all int) int { return all * 2 / 5 }
 
-// UpstreamSockets is the part for caches; the rest is for the program's own files.
-func UpstreamSockets(all int) int { return max(1, all/2-16) }
+// UpstreamSockets is the part for caches. The rest is for operators (16), and for what must never be missing: the
+// coordinator's stream, the listening sockets, the loop, the configuration when it is read again.
+func UpstreamSockets(all int) int { return max(1, all/2-20) }
 
 // Phase tells where the program stands.
 func (p *Proxy) Phase() Phase { return p.phase }
