Move calls on from connections that are late to come up, and wait for answers longer

Change: Pools.Instead gives a call whose connection is late (three times the server's median) another one, which has been heard since or is new, twice at most; nothing was sent, so nothing can run twice. A quarter of a time under 0.24 s is kept for the answer. TestInsteadOfALateConnection forces a late connection by a full queue.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -70,11 +70,12 @@
 	up      bool
 	closed  bool
 	dirty   bool
-	closing bool  // no more is taken either way; closed when the peer has closed too
-	leaving bool  // the peer has been seen to send no more
-	ended   bool  // and all that it sent has been handed over
-	came    Clock // an accepted connection was made after this; 0: not known
-	since   Clock // when it was made or accepted
+	closing bool          // no more is taken either way; closed when the peer has closed too
+	leaving bool          // the peer has been seen to send no more
+	ended   bool          // and all that it sent has been handed over
+	came    Clock         // an accepted connection was made after this; 0: not known
+	since   Clock         // when it was begun or accepted
+	took    time.Duration // to come up
 	heard   Clock
 	wrote   Clock
 }
@@ -89,6 +90,9 @@
 // Up says whether the connection has been made.
 func (c *Conn) Up() bool { return c.up }
 
+// Age is for how long the connection has existed.
+func (c *Conn) Age() time.Duration { return c.loop.now - c.since }
+
 // Ended says whether the connection has ended or is about to.
 func (c *Conn) Ended() bool { return c.closed || c.closing }
 
@@ -278,7 +282,7 @@
 		return // not yet
 	}
 	c.loop.Stop(c.timeout)
-	c.up, c.heard, c.wrote = true, c.loop.now, c.loop.now
+	c.up, c.heard, c.wrote, c.took = true, c.loop.now, c.loop.now, c.Age()
 	c.flushLater()
 }
 
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -12,6 +12,13 @@
 // ErrNoSocket says that a connection would exceed the budget for sockets.
 var ErrNoSocket = errors.New("budget for sockets is used up")
 
+const (
+	startUsual    = 10 * time.Millisecond // to come up, until some have
+	usualStep     = 5                     // part of it by which the usual time follows
+	lateBy        = 3                     // times the usual time after which a connection is late
+	leastPatience = 5 * time.Millisecond
+)
+
 // ErrRetired says that a pool's server is gone.
 var ErrRetired = errors.New("server is gone")
 
@@ -40,6 +47,7 @@
 	pools *Pools
 	addr  netip.AddrPort
 	slots []*Slot
+	usual time.Duration // in which about half of its connections come up
 }
 
 // Slot is one pooled connection.
@@ -50,6 +58,7 @@
 	Load  int  // uses under way
 	Stale bool // takes no new use; closed when the last one is over
 	used  Clock
+	timed bool // how long it took to come up has been counted
 
 	trial int   // how long it had been idle when its last use began, as a place in risks; -1: known by now
 	begun Clock // when that was
@@ -72,7 +81,7 @@
 		}
 		ps.Retire(id)
 	}
-	ps.byID[id] = &Pool{pools: ps, addr: addr}
+	ps.byID[id] = &Pool{pools: ps, addr: addr, usual: startUsual}
 }
 
 // Retire forgets a server. Connections that are not up yet are given up: whoever has taken over the address
@@ -114,7 +123,8 @@
 	}
 	var best *Slot
 	for _, s := range slices.Clone(p.slots) {
-		if s.retireIdle(); s.Stale || s.Ended() || s.Load >= ps.limits.Streams || !fits(s) {
+		s.time()
+		if s.retireIdle(); s.Stale || s.Ended() || s.Load >= ps.limits.Streams || s.late() || !fits(s) {
 			continue
 		}
 		if best == nil || s.before(best) {
@@ -131,12 +141,62 @@
 			return nil, err
 		}
 	}
-	if best.Load++; best.Load == 1 {
-		best.trial, best.begun = best.idle(), ps.loop.now
+	best.use()
+	return best, nil
+}
+
+func (s *Slot) use() {
+	if s.Load++; s.Load == 1 {
+		s.trial, s.begun = s.idle(), s.pool.pools.loop.now
+	}
+}
+
+// Instead returns another connection for a use that waits for one that is late to come up: one that is up and has
+// brought something since the late one was begun, as its server may be gone, else a new one. The caller releases the
+// late one, which is there for others when it comes up.
+func (ps *Pools) Instead(late *Slot, fits func(*Slot) bool) (*Slot, error) {
+	p := late.pool
+	var best *Slot
+	for _, s := range p.slots {
+		if !s.Stale && s.Up() && !s.Ended() && s.Load < ps.limits.Streams && s.Heard() > late.since && fits(s) &&
+			(best == nil || s.before(best)) {
+			best = s
+		}
 	}
+	if best == nil {
+		if late.Stale || ps.count >= ps.limits.Apart {
+			return nil, ErrNoSocket
+		}
+		fresh, err := p.dial()
+		if err != nil {
+			return nil, err
+		}
+		best = fresh
+	}
+	best.use()
 	return best, nil
 }
 
+// Patience is how long a connection to this server may take to come up before it is late.
+func (s *Slot) Patience() time.Duration { return max(leastPatience, lateBy*s.pool.usual) }
+
+// late says that a connection has not come up in the usual time.
+func (s *Slot) late() bool { return !s.Up() && s.Age() > s.Patience() }
+
+// time counts how long the connection took to come up, once: usual follows the median in small steps, so that those
+// that come up late, however late, do not make late usual.
+func (s *Slot) time() {
+	if !s.Up() || s.timed {
+		return
+	}
+	s.timed = true
+	if s.took > s.pool.usual {
+		s.pool.usual += s.pool.usual / usualStep
+	} else {
+		s.pool.usual -= s.pool.usual / usualStep
+	}
+}
+
 // before says whether s is better than other for a new use.
 func (s *Slot) before(other *Slot) bool {
 	switch {
--- /dev/null
+++ b/internal/net/pool_test.go
@@ -0,0 +1,126 @@
+package net
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// full is a server whose queue of new connections is full: a further one does not come up until there is room again.
+type full struct {
+	fd    int
+	addr  netip.AddrPort
+	first []int // connections that fill it
+}
+
+func newFull(t *testing.T) *full {
+	t.Helper()
+	fd, err := socket(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = unix.Listen(fd, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &full{fd: fd, addr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(at.(*unix.SockaddrInet4).Port))}
+	t.Cleanup(func() {
+		for _, fd := range append(f.first, f.fd) {
+			unix.Close(fd) //nolint:errcheck // the test is over
+		}
+	})
+	for range 2 { // one more than the queue holds, which may be one more than was asked for
+		c, err := socket(f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.first = append(f.first, c)
+		unix.Connect(c, sockaddr(f.addr)) //nolint:errcheck // in progress
+	}
+	return f
+}
+
+// accept takes one connection off the queue, once there is one.
+func (f *full) accept(t *testing.T, l *Loop) int {
+	t.Helper()
+	for range 1000 {
+		if fd, _, err := unix.Accept(f.fd); err == nil {
+			f.first = append(f.first, fd)
+			return fd
+		}
+		turn(t, l)
+	}
+	t.Fatal("nothing to accept")
+	return -1
+}
+
+func turn(t *testing.T, l *Loop) {
+	t.Helper()
+	if err := l.Wait(5 * time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	l.Flush()
+}
+
+// What waits for a connection that is late to come up gets another, and the late one is not waited for by others. The
+// danger: a handshake's lost packet is sent again after a second only, when the time of many a request is over.
+func TestInsteadOfALateConnection(t *testing.T) {
+	l, err := NewLoop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.tick()
+	server := newFull(t)
+	ps := NewPools(l, Limits{Streams: 8, Sockets: 10, Apart: 8, ConnectTimeout: time.Minute, Idle: time.Minute},
+		func(*Slot) Handler { return nobody{} })
+	ps.Set("s", server.addr)
+	any := func(*Slot) bool { return true }
+	late, err := ps.Get("s", false, any)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for !late.late() {
+		turn(t, l)
+	}
+	if late.Up() {
+		t.Fatal("the server's queue was not full: nothing is late")
+	}
+	server.accept(t, l) // there is room for one more now
+	other, err := ps.Instead(late, any)
+	if err != nil || other == late {
+		t.Fatal(err)
+	}
+	late.Release()
+	for i := 0; !other.Up(); i++ {
+		if turn(t, l); i == 1000 {
+			t.Fatal("the other one never came up")
+		}
+	}
+	if late.Up() {
+		t.Fatal("the late one is up too: nothing was tested")
+	}
+	if s, err := ps.Get("s", false, any); err != nil || s == late {
+		t.Errorf("a new use waits for the late one: %v", err)
+	}
+	// One that has brought something since shows that the server is there: no further handshake is needed.
+	fd := server.accept(t, l)
+	if _, err := unix.Write(fd, []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; other.Heard() <= late.since || ps.count == 0; i++ {
+		if turn(t, l); i == 1000 {
+			t.Fatal("nothing was heard")
+		}
+	}
+	if s, err := ps.Instead(late, any); err != nil || !s.Up() {
+		t.Errorf("a new connection though one is up: %v", err)
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -9,6 +9,10 @@
 	"cloverdoor/policy"
 )
 
+// mostMoves is how often a call moves on from a connection that is late: of those that a third are, three in a row are
+// few.
+const mostMoves = 2
+
 // attempt is one sending of a request to a cache, a parent or the origin. It ends once, with one result.
 type attempt struct {
 	p       *Proxy
@@ -35,15 +39,43 @@
 		p.end(a, resp.Answer{}, policy.ResultConnectFailed)
 		return
 	}
+	a.put(slot, mostMoves)
+}
+
+// put queues the call on a connection. While that is late to come up, the call may move on to another: it has not been
+// sent. The danger: some connections come up after a second, when the client's time is over.
+func (a *attempt) put(slot *net.Slot, moves int) {
 	a.on = slot.Owner.(*upstream)
-	a.on.calls[q.ID] = a
-	slot.Send(a)
+	a.on.calls[a.req.ID] = a
+	slot.Send(sending{a, a.on})
+	if slot.Up() || moves == 0 {
+		return
+	}
+	a.p.loop.At(a.p.loop.Now()+max(0, slot.Patience()-slot.Age()), func() {
+		if a.ended || a.started || slot.Up() || slot.Ended() {
+			return
+		}
+		other, err := a.p.pools.Instead(slot, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(a.req) })
+		if err != nil {
+			return
+		}
+		delete(a.on.calls, a.req.ID)
+		slot.Release()
+		a.put(other, moves-1)
+	})
+}
+
+// sending is a call that is queued on a connection.
+type sending struct {
+	*attempt
+	on *upstream
 }
 
 // Encode makes the call when its first byte is about to go. The module is asked once more: while the call
 // waited for its connection its target may have been drained or its object purged.
-func (a *attempt) Encode() ([]byte, bool) {
-	if a.ended {
+func (s sending) Encode() ([]byte, bool) {
+	a := s.attempt
+	if a.ended || a.on != s.on { // or moved on
 		return nil, false
 	}
 	if a.req.finished { // answered or given up since, perhaps in this very turn
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,8 +34,10 @@
 }
 
 const (
-	// answerTime is what is kept of a request's time to write its answer and get it to the client.
+	// answerTime is what is kept of a request's time to write its answer and get it to the client, and answerPart the
+	// share of a short time that is: the client allows 50 ms more, and the answer may come while it waits.
 	answerTime = 60 * time.Millisecond
+	answerPart = 4
 	// stopTime is how long after the order to stop clients may still come: connections for 0.4 s, requests on
 	// them for 0.2 s more.
 	stopTime = 700 * time.Millisecond
@@ -351,7 +353,7 @@
 	}
 	p.lastID++
 	now := p.loop.Now()
-	q := &request{Request: in, number: p.lastID, to: to, deadline: now + max(in.Wait-answerTime, in.Wait/2),
+	q := &request{Request: in, number: p.lastID, to: to, deadline: now + in.Wait - min(answerTime, in.Wait/answerPart),
 		safe: p.set.Policy.Classes[in.Class].Effect == policy.Safe}
 	if p.phase == Stopping {
 		q.deadline = max(now, min(q.deadline, p.endBy))
