Turn down settings that nobody could be served by, and use the field's terms for connections

A start configuration with "zone" -1 ended in a panic (policy reads the routers by zone), one with a limit under 0 refused everybody or closed every connection at once: settings.Check turns both down now, at the start with one line and at SIGHUP without taking anything over. TestUnservableConfiguration and the new cases of TestCheck fail without it. Renamed, as the code was touched: last poll, unacked, rdhup and eof, peer closing and closed, evictable, backpressure, reassign.

--- a/cmd/cloverdoor/endings_test.go
+++ b/cmd/cloverdoor/endings_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -576,3 +577,25 @@
 		}
 	}
 }
+
+// A start configuration that is well formed but can't be served by ends the program with one line, not in a panic.
+func TestUnservableConfiguration(t *testing.T) {
+	for _, change := range [][]string{
+		{`"zone":1`, `"zone":-1`}, {`"zone":1`, `"zone":7`}, {`"streams-per-conn":32`, `"streams-per-conn":-32`},
+		{`"may-cancel"`, `"max-open":-1,"may-cancel"`}, {`"group-size":1`, `"group-size":-300`},
+	} {
+		w := prepare(t)
+		w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache)))
+		w.cmd.Process.Kill() //nolint:errcheck // only its configuration is of use
+		text := strings.Replace(w.text, change[0], change[1], 1)
+		if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil || text == w.text {
+			t.Fatal(change, err)
+		}
+		cmd := exec.Command(w.cmd.Path)
+		cmd.Env = w.cmd.Env
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "settings: ") {
+			t.Errorf("%s: %v %q", change[1], err, out)
+		}
+	}
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -24,11 +24,11 @@
 // read yet: by the time all is read, the peer may have been gone for long.
 type HalfCloser interface {
 	Handler
-	// Leaving is called once, when the peer is seen to send no more. It did so after the given time; 0: not known.
-	Leaving(after Clock)
-	// Ended is called once, when all that the peer sent has been handed over. It says whether output is still
+	// PeerClosing is called once, when the peer is seen to send no more. It did so after the given time; 0: not known.
+	PeerClosing(after Clock)
+	// PeerClosed is called once, when all that the peer sent has been handed over. It says whether output is still
 	// owed: the handler then closes the connection itself when it is not any more.
-	Ended() (owed bool)
+	PeerClosed() (owed bool)
 }
 
 // Message is output that is made only when its first byte is about to be written.
@@ -71,8 +71,8 @@
 	closed  bool
 	dirty   bool
 	closing bool          // no more is taken either way; closed when the peer has closed too
-	leaving bool          // the peer has been seen to send no more
-	ended   bool          // and all that it sent has been handed over
+	rdhup   bool          // the peer has been seen to send no more
+	eof     bool          // and all that it sent has been handed over
 	came    Clock         // an accepted connection was made after this; 0: not known
 	since   Clock         // when it was begun or accepted
 	took    time.Duration // to come up
@@ -133,7 +133,7 @@
 		c.wrote = c.loop.now
 	}
 	c.count(len(o.data))
-	c.flushLater()
+	c.scheduleFlush()
 	if n := len(c.queue); n > 0 && o.msg == nil {
 		if last := &c.queue[n-1]; last.msg == nil && last.written == nil && len(last.data)+len(o.data) <= mostJoined {
 			last.data = append(last.data, o.data...)
@@ -143,9 +143,9 @@
 	c.queue = append(c.queue, o)
 }
 
-// flushLater has the queue written at the end of the turn: all that has come in it is known by then, and a message
+// scheduleFlush has the queue written at the end of the turn: all that has come in it is known by then, and a message
 // may be void.
-func (c *Conn) flushLater() {
+func (c *Conn) scheduleFlush() {
 	if !c.dirty {
 		c.dirty = true
 		c.loop.dirty = append(c.loop.dirty, c)
@@ -185,7 +185,7 @@
 // shutdown begins the wait for the peer's end only when all that was queued has gone: a peer that reads slowly
 // would else lose the rest of an answer.
 func (c *Conn) shutdown() {
-	if c.ended { // nothing can be unread
+	if c.eof { // nothing can be unread
 		c.fail(io.EOF)
 		return
 	}
@@ -203,7 +203,7 @@
 	c.loop.At(c.loop.now+lingerFor, func() {
 		switch {
 		case c.closed:
-		case c.Untaken() > 0 && c.loop.now < end:
+		case c.Unacked() > 0 && c.loop.now < end:
 			c.linger(end)
 		default:
 			if c.receive(); !c.closed {
@@ -213,8 +213,8 @@
 	})
 }
 
-// Untaken is how many bytes the peer has not acknowledged of those that were written.
-func (c *Conn) Untaken() int {
+// Unacked is how many bytes the peer has not acknowledged of those that were written.
+func (c *Conn) Unacked() int {
 	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
 	if err != nil {
 		return 0
@@ -241,31 +241,31 @@
 	half, isHalf := c.handler.(HalfCloser)
 	switch {
 	case !c.up || c.closed:
-	case c.ended && events&broken != 0, isHalf && events&unix.EPOLLERR != 0:
+	case c.eof && events&broken != 0, isHalf && events&unix.EPOLLERR != 0:
 		c.fail(unix.ECONNRESET) // what it sent before is not wanted any more
 	case isHalf && !c.closing && events&unix.EPOLLRDHUP != 0:
-		c.left(half)
+		c.peerClosing(half)
 	}
-	if c.up && !c.closed && !c.ended && events&(unix.EPOLLIN|unix.EPOLLRDHUP|broken) != 0 {
+	if c.up && !c.closed && !c.eof && events&(unix.EPOLLIN|unix.EPOLLRDHUP|broken) != 0 {
 		c.receive()
 	}
 	if c.up && !c.closed && events&unix.EPOLLOUT != 0 {
-		c.flushLater()
+		c.scheduleFlush()
 	}
 }
 
-// left tells the handler, once, that the peer sends no more. One that did so before the last look at it would have
+// peerClosing tells the handler, once, that the peer sends no more. One that did so before the last look at it would have
 // been seen then, unless it was not looked at yet.
-func (c *Conn) left(half HalfCloser) {
-	if c.leaving {
+func (c *Conn) peerClosing(half HalfCloser) {
+	if c.rdhup {
 		return
 	}
-	c.leaving = true
-	after := c.loop.looked
+	c.rdhup = true
+	after := c.loop.lastPoll
 	if c.since >= after {
 		after = c.came
 	}
-	half.Leaving(after)
+	half.PeerClosing(after)
 }
 
 // connected looks at how a connect ended.
@@ -283,7 +283,7 @@
 	}
 	c.loop.Stop(c.timeout)
 	c.up, c.heard, c.wrote, c.took = true, c.loop.now, c.loop.now, c.Age()
-	c.flushLater()
+	c.scheduleFlush()
 }
 
 // receive takes what has come. A connection that brings much is read on, within bounds: a client may have taken back
@@ -313,17 +313,17 @@
 // end takes the peer's end of a conversation.
 func (c *Conn) end() {
 	if c.closing && len(c.queue) > 0 { // it still takes what it is owed
-		c.ended = true
-		c.flushLater()
+		c.eof = true
+		c.scheduleFlush()
 		return
 	}
 	if half, ok := c.handler.(HalfCloser); ok && !c.closing {
-		if c.left(half); c.closed {
+		if c.peerClosing(half); c.closed {
 			return
 		}
-		if half.Ended() {
-			c.ended = true
-			c.flushLater()
+		if half.PeerClosed() {
+			c.eof = true
+			c.scheduleFlush()
 			return
 		}
 	}
@@ -428,9 +428,9 @@
 // output. Input is waited for also when the peer leaves ours unread: it may take back what it asked for, or leave.
 func (c *Conn) watch() {
 	events := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
-	if c.ended {
+	if c.eof {
 		events = 0
-	} else if c.leaving || c.closing {
+	} else if c.rdhup || c.closing {
 		events = unix.EPOLLIN
 	}
 	if !c.up || len(c.queue) > 0 {
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -123,7 +123,7 @@
 	l := ln.loop
 	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN | unix.EPOLLRDHUP, since: l.now, heard: l.now, wrote: l.now}
 	if !ln.behind {
-		c.came = l.looked
+		c.came = l.lastPoll
 	}
 	c.handler = ln.accept(c)
 	err := errors.Join(
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -20,17 +20,17 @@
 // Loop waits for readiness and for timers. A turn is: Wait, then what its callbacks queued is carried out,
 // then Flush.
 type Loop struct {
-	epoll  int
-	fds    map[int]pollable
-	timers timers
-	start  time.Time
-	now    Clock
-	looked Clock   // when the last look at all that is ready ended: what is new in this turn came after it
-	whole  bool    // the last look was at all
-	dirty  []*Conn // with output queued in this turn
-	held   int     // bytes held in all buffers and queues
-	read   []byte  // shared by all reads
-	events []unix.EpollEvent
+	epoll     int
+	fds       map[int]pollable
+	timers    timers
+	start     time.Time
+	now       Clock
+	lastPoll  Clock   // when the last look at all that is ready ended: what is new in this turn came after it
+	polledAll bool    // the last look was at all
+	dirty     []*Conn // with output queued in this turn
+	held      int     // bytes held in all buffers and queues
+	read      []byte  // shared by all reads
+	events    []unix.EpollEvent
 }
 
 // readSize is how much one connection may bring in one turn: none holds up the others.
@@ -56,10 +56,10 @@
 // Stalled is for how much longer than a nap the loop has not looked at what is ready: the process does not always have
 // its core, and what is read in this turn may have waited for as long.
 func (l *Loop) Stalled(nap time.Duration) time.Duration {
-	if l.looked == 0 {
+	if l.lastPoll == 0 {
 		return 0
 	}
-	return max(0, l.now-l.looked-nap)
+	return max(0, l.now-l.lastPoll-nap)
 }
 
 // Held is how many bytes all connections hold, received and not used or queued and not written.
@@ -72,8 +72,8 @@
 // Wait sleeps until something is ready, the next timer is due or most has passed, and runs the callbacks of all
 // that is ready.
 func (l *Loop) Wait(most time.Duration) error {
-	if l.whole {
-		l.looked = l.now
+	if l.polledAll {
+		l.lastPoll = l.now
 	}
 	l.tick()
 	if len(l.timers) > 0 {
@@ -85,7 +85,7 @@
 		return fmt.Errorf("epoll_wait: %w", err)
 	}
 	l.tick()
-	l.whole = n >= 0 && n < len(l.events) // a signal, also one that had stopped the process, cuts the look short
+	l.polledAll = n >= 0 && n < len(l.events) // a signal, also one that had stopped the process, cuts the look short
 	for _, ev := range l.events[:max(n, 0)] {
 		// Looked up by number: one closed earlier in this turn is not there any more.
 		if p := l.fds[int(ev.Fd)]; p != nil {
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -13,8 +13,8 @@
 var ErrNoSocket = errors.New("budget for sockets is used up")
 
 const (
-	startUsual    = 10 * time.Millisecond // to come up, until some have
-	usualStep     = 5                     // part of it by which the usual time follows
+	startConnect  = 10 * time.Millisecond // to come up, until some have
+	medianStep    = 5                     // part of it by which the usual time follows
 	lateBy        = 3                     // times the usual time after which a connection is late
 	leastPatience = 5 * time.Millisecond
 )
@@ -44,21 +44,21 @@
 
 // Pool is the connections to one server.
 type Pool struct {
-	pools *Pools
-	addr  netip.AddrPort
-	slots []*Slot
-	usual time.Duration // in which about half of its connections come up
+	pools         *Pools
+	addr          netip.AddrPort
+	slots         []*Slot
+	medianConnect time.Duration // in which about half of its connections come up
 }
 
 // Slot is one pooled connection.
 type Slot struct {
 	*Conn
-	Owner Handler
-	pool  *Pool
-	Load  int  // uses under way
-	Stale bool // takes no new use; closed when the last one is over
-	used  Clock
-	timed bool // how long it took to come up has been counted
+	Owner    Handler
+	pool     *Pool
+	Load     int  // uses under way
+	Stale    bool // takes no new use; closed when the last one is over
+	used     Clock
+	recorded bool // how long it took to come up has been counted
 
 	trial int   // how long it had been idle when its last use began, as a place in risks; -1: known by now
 	begun Clock // when that was
@@ -81,7 +81,7 @@
 		}
 		ps.Retire(id)
 	}
-	ps.byID[id] = &Pool{pools: ps, addr: addr, usual: startUsual}
+	ps.byID[id] = &Pool{pools: ps, addr: addr, medianConnect: startConnect}
 }
 
 // Retire forgets a server. Connections that are not up yet are given up: whoever has taken over the address
@@ -123,7 +123,7 @@
 	}
 	var best *Slot
 	for _, s := range slices.Clone(p.slots) {
-		s.time()
+		s.recordConnect()
 		if s.retireIdle(); s.Stale || s.Ended() || s.Load >= ps.limits.Streams || s.late() || !fits(s) {
 			continue
 		}
@@ -151,10 +151,10 @@
 	}
 }
 
-// Instead returns another connection for a use that waits for one that is late to come up: one that is up and has
+// Reassign returns another connection for a use that waits for one that is late to come up: one that is up and has
 // brought something since the late one was begun, as its server may be gone, else a new one. The caller releases the
 // late one, which is there for others when it comes up.
-func (ps *Pools) Instead(late *Slot, fits func(*Slot) bool) (*Slot, error) {
+func (ps *Pools) Reassign(late *Slot, fits func(*Slot) bool) (*Slot, error) {
 	p := late.pool
 	var best *Slot
 	for _, s := range p.slots {
@@ -178,22 +178,22 @@
 }
 
 // Patience is how long a connection to this server may take to come up before it is late.
-func (s *Slot) Patience() time.Duration { return max(leastPatience, lateBy*s.pool.usual) }
+func (s *Slot) Patience() time.Duration { return max(leastPatience, lateBy*s.pool.medianConnect) }
 
 // late says that a connection has not come up in the usual time.
 func (s *Slot) late() bool { return !s.Up() && s.Age() > s.Patience() }
 
-// time counts how long the connection took to come up, once: usual follows the median in small steps, so that those
-// that come up late, however late, do not make late usual.
-func (s *Slot) time() {
-	if !s.Up() || s.timed {
+// recordConnect counts how long the connection took to come up, once: the estimate follows the median in small steps, so that those
+// that come up late, however late, do not make late the rule.
+func (s *Slot) recordConnect() {
+	if !s.Up() || s.recorded {
 		return
 	}
-	s.timed = true
-	if s.took > s.pool.usual {
-		s.pool.usual += s.pool.usual / usualStep
+	s.recorded = true
+	if s.took > s.pool.medianConnect {
+		s.pool.medianConnect += s.pool.medianConnect / medianStep
 	} else {
-		s.pool.usual -= s.pool.usual / usualStep
+		s.pool.medianConnect -= s.pool.medianConnect / medianStep
 	}
 }
 
--- a/internal/net/pool_test.go
+++ b/internal/net/pool_test.go
@@ -72,7 +72,7 @@
 
 // What waits for a connection that is late to come up gets another, and the late one is not waited for by others. The
 // danger: a handshake's lost packet is sent again after a second only, when the time of many a request is over.
-func TestInsteadOfALateConnection(t *testing.T) {
+func TestReassignFromALateConnection(t *testing.T) {
 	l, err := NewLoop()
 	if err != nil {
 		t.Fatal(err)
@@ -94,7 +94,7 @@
 		t.Fatal("the server's queue was not full: nothing is late")
 	}
 	server.accept(t, l) // there is room for one more now
-	other, err := ps.Instead(late, any)
+	other, err := ps.Reassign(late, any)
 	if err != nil || other == late {
 		t.Fatal(err)
 	}
@@ -120,7 +120,7 @@
 			t.Fatal("nothing was heard")
 		}
 	}
-	if s, err := ps.Instead(late, any); err != nil || !s.Up() {
+	if s, err := ps.Reassign(late, any); err != nil || !s.Up() {
 		t.Errorf("a new connection though one is up: %v", err)
 	}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -55,7 +55,7 @@
 		if a.ended || a.started || slot.Up() || slot.Ended() {
 			return
 		}
-		other, err := a.p.pools.Instead(slot, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(a.req) })
+		other, err := a.p.pools.Reassign(slot, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(a.req) })
 		if err != nil {
 			return
 		}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -26,21 +26,21 @@
 	// long it may take in all: some write slowly.
 	wholeAfter = 2 * time.Second
 	wholeMost  = 10 * time.Second
-	// spareAfter is when one that paused in the middle of a request may have to make room for another: it would lose
+	// evictPartialAfter is when one that paused in the middle of a request may have to make room for another: it would lose
 	// its request.
-	spareAfter = 250 * time.Millisecond
+	evictPartialAfter = 250 * time.Millisecond
 	// goneAfter is how long after a client has left what it asked for is given up. Nothing may begin for it after
 	// 0.1 s; at once would take the answers from one that has only ended its own side.
 	goneAfter = 80 * time.Millisecond
-	// parkAt is how many bytes of answers a client may leave unread before its further requests wait.
-	parkAt = 1 << 20
-	// restedAfter is the same for one that is owed nothing: a request that crosses the close within 50 ms is sent
+	// backpressureAt is how many bytes of answers a client may leave unread before its further requests wait.
+	backpressureAt = 1 << 20
+	// evictIdleAfter is the same for one that is owed nothing: a request that crosses the close within 50 ms is sent
 	// again. The danger of a longer time: clients that ask once and stay, a few hundred a second, hold all places for
 	// as long, and others wait to be accepted.
-	restedAfter = 100 * time.Millisecond
-	// muteAfter is the same for one that has said nothing yet: a client that means well asks as soon as it is
+	evictIdleAfter = 100 * time.Millisecond
+	// evictSilentAfter is the same for one that has said nothing yet: a client that means well asks as soon as it is
 	// connected.
-	muteAfter = 50 * time.Millisecond
+	evictSilentAfter = 50 * time.Millisecond
 )
 
 var errFull = errors.New("memory for clients is used up")
@@ -98,7 +98,7 @@
 	unread := map[*clientConn]bool{}
 	for {
 		for c := range f.conns {
-			if !unread[c] && c.spare() && (spare == nil || c.missedLess(spare)) {
+			if !unread[c] && c.evictable() && (spare == nil || c.evictBefore(spare)) {
 				spare = c
 			}
 		}
@@ -146,13 +146,13 @@
 	f.p.loop.At(f.p.loop.Now()+longestNap, f.watch)
 }
 
-// dismiss closes, while clients are to leave, the connections that are empty now. It comes at the end of a turn, when
+// closeDrained closes, while clients are to leave, the connections that are empty now. It comes at the end of a turn, when
 // all that has come was taken and all answers have been written and have arrived: what a client sends while its
 // connection is closed but still brings output would be lost.
-func (f *Front) dismiss() {
+func (f *Front) closeDrained() {
 	for c := range f.conns {
 		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && c.conn.Pending() == 0 &&
-			c.conn.Untaken() == 0 && !c.conn.Unread() {
+			c.conn.Unacked() == 0 && !c.conn.Unread() {
 			c.conn.CloseFlushed()
 		}
 	}
@@ -182,29 +182,29 @@
 	return c.front.p.loop.Now() - max(c.conn.Heard(), c.answered)
 }
 
-// partly says whether a request has come in part.
-func (c *clientConn) partly() bool { return c.conn.Pending() > 0 || c.decoder.Receiving() }
+// midRequest says whether a request has come in part.
+func (c *clientConn) midRequest() bool { return c.conn.Pending() > 0 || c.decoder.Receiving() }
 
-// spare says whether a connection may be closed to make room for another.
-func (c *clientConn) spare() bool {
+// evictable says whether a connection may be closed to make room for another.
+func (c *clientConn) evictable() bool {
 	bytes, _ := c.conn.Backlog()
 	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() {
 		return false
 	}
-	return c.idle() > [...]time.Duration{muteAfter, restedAfter, spareAfter}[c.missed()]
+	return c.idle() > [...]time.Duration{evictSilentAfter, evictIdleAfter, evictPartialAfter}[c.evictionRank()]
 }
 
-// missedLess compares spare connections: those that have said nothing go first, those in the middle of a request last.
-func (c *clientConn) missedLess(other *clientConn) bool {
-	if a, b := c.missed(), other.missed(); a != b {
+// evictBefore compares evictable connections: those that have said nothing go first, those in the middle of a request last.
+func (c *clientConn) evictBefore(other *clientConn) bool {
+	if a, b := c.evictionRank(), other.evictionRank(); a != b {
 		return a < b
 	}
 	return c.idle() > other.idle()
 }
 
-func (c *clientConn) missed() int {
+func (c *clientConn) evictionRank() int {
 	switch {
-	case c.partly():
+	case c.midRequest():
 		return 2
 	case c.asked > 0:
 		return 1
@@ -279,9 +279,9 @@
 	c.count(0)
 }
 
-// Leaving notes that the client sends no more. It has closed, most likely, and nothing must begin for it long after. It
+// PeerClosing notes that the client sends no more. It has closed, most likely, and nothing must begin for it long after. It
 // may also wait for its answers all the same: it gets what can be had at once.
-func (c *clientConn) Leaving(after net.Clock) {
+func (c *clientConn) PeerClosing(after net.Clock) {
 	c.goneBy = max(1, after+goneAfter)
 	c.front.p.loop.At(c.goneBy, c.giveUp)
 }
@@ -296,8 +296,8 @@
 	}
 }
 
-// Ended says whether the client is still owed something; it is closed when it is not any more.
-func (c *clientConn) Ended() (owed bool) {
+// PeerClosed says whether the client is still owed something; it is closed when it is not any more.
+func (c *clientConn) PeerClosed() (owed bool) {
 	c.last = true
 	if bytes, _ := c.conn.Backlog(); len(c.open) == 0 && bytes == 0 {
 		return false
@@ -358,7 +358,7 @@
 
 func (c *clientConn) full() bool {
 	bytes, _ := c.conn.Backlog()
-	return bytes >= parkAt
+	return bytes >= backpressureAt
 }
 
 func (c *clientConn) request(r *fastcgi.Request) {
@@ -429,7 +429,9 @@
 func (c *clientConn) empty() bool { return len(c.open) == 0 && !c.decoder.Busy() }
 
 // asking says that the client has just connected, or has begun a record: what it asks would be lost by a close.
-func (c *clientConn) asking() bool { return c.owes != 0 && c.front.p.loop.Now()-c.owes <= spareAfter }
+func (c *clientConn) asking() bool {
+	return c.owes != 0 && c.front.p.loop.Now()-c.owes <= evictPartialAfter
+}
 
 // parse decodes the fields of a request.
 func (f *Front) parse(r *fastcgi.Request) (Request, error) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -291,7 +291,7 @@
 	}
 	if p.Leaving() {
 		for _, f := range p.fronts {
-			f.dismiss()
+			f.closeDrained()
 		}
 	}
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -27,6 +27,9 @@
 	if n := c.Limits.MaxAttempts; n != nil && *n <= 0 {
 		return fmt.Errorf("settings: max-attempts is %d; it must be over 0", *n)
 	}
+	if err := s.checkNumbers(); err != nil {
+		return err
+	}
 	for name, n := range map[string]int{
 		"class-fresh-us": len(c.Domain.Fresh), "grace-for-us": len(c.Domain.Grace), "pass-on": len(c.Domain.PassOn),
 	} {
@@ -37,6 +40,24 @@
 	return nil
 }
 
+// checkNumbers looks for what would stop the proxy or keep it from serving anybody.
+func (s Settings) checkNumbers() error {
+	c := s.read
+	if c.Zone < 0 || c.Zone >= max(1, len(c.Areas)) {
+		return fmt.Errorf("settings: zone %d is not among the %d areas", c.Zone, len(c.Areas))
+	}
+	for name, n := range map[string]int64{
+		"index": int64(c.Index), "group-size": int64(c.GroupSize), "max-open": int64(c.Limits.MaxOpen),
+		"streams-per-conn": int64(c.Limits.StreamsPerConn), "conn-idle-us": c.Limits.ConnIdle,
+		"connect-timeout-us": c.Limits.ConnectTimeout,
+	} {
+		if n < 0 {
+			return fmt.Errorf("settings: %s is %d; it must not be under 0", name, n)
+		}
+	}
+	return nil
+}
+
 // CheckAfter says whether the settings may follow earlier ones while the proxy runs. Where it stands, and the numbers
 // by which members are known, can't change under it.
 func (s Settings) CheckAfter(earlier Settings) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,12 @@
 		{`"classes"`, `"others"`, false},
 		{`"pass-on":[false,true]`, `"pass-on":[false]`, false}, // the write would look like a read
 		{`"pass-on":[false,true]`, `"grace-for-us":[1,2,3]`, false},
+		{`"areas"`, `"zone":1,"areas"`, true},
+		{`"areas"`, `"zone":2,"areas"`, false},
+		{`"areas"`, `"zone":-1,"areas"`, false}, // would end in a panic
+		{`"areas"`, `"index":-1,"areas"`, false},
+		{`"max-attempts":2`, `"max-open":-1`, false}, // would refuse everybody
+		{`"max-attempts":2`, `"connect-timeout-us":-1`, false},
 	} {
 		s, err := Decode([]byte(strings.Replace(whole, tt.was, tt.is, 1)))
 		if err != nil {
