--- a/cmd/cloverdoor/endings_test.go
+++ b/cmd/cloverdoor/endings_test.go
@@ -599,3 +599,24 @@
 		}
 	}
 }
+
+// A client that writes slowly is waited for as long as it goes on, and served.
+func TestSlowWriterIsServed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	c := w.dial()
+	out := &batch{Conn: c.Conn}
+	(&client{Conn: out}).ask(1, "artes", longWait, 1, "")
+	for begin := time.Now(); len(out.out) > 0; time.Sleep(50 * time.Millisecond) { // its pace is what is tested
+		n := 1
+		if time.Since(begin) > 3*time.Second {
+			n = len(out.out)
+		}
+		c.Write(out.out[:n]) //nolint:errcheck // shows in the answers
+		out.out = out.out[n:]
+	}
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
