Break traffic by script between sockets: faultproxy, its plan, its relay, and tests through it

Need: crossings that break a proxy were forced by freezing the process or by hand; resets at an exact byte, silence in the middle of a line or answers that come twice could not be. Tests through it, the program between relays: a reset before, in the middle of and after a registro call (runs once at most, one outcome), a coordinator silent in the middle of a drain, a client gone with its request's last byte, SIGTERM with answers half written, answers that end early, come twice or under another name, and one script played twice for 5 s: the same faults and the same outcomes.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 fuzz:
 	for p in fastcgi resp feed http1; do go test ./internal/$$p -run '^$$' -fuzz FuzzDecode -fuzztime 20s || exit 1; done
+	go test ./internal/fault -run '^$$' -fuzz FuzzParse -fuzztime 20s
 
 # The proxy with the example's configuration; start the toy servers first.
 run: build
--- /dev/null
+++ b/cmd/cloverdoor/fault_test.go
@@ -0,0 +1,303 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cloverdoor/internal/fault"
+	"cloverdoor/internal/relay"
+)
+
+// broken is a relay before an address. It stands in for a listener wherever only its address is asked for.
+type broken struct {
+	net.Listener
+	relay *relay.Relay
+	mu    sync.Mutex
+	fired []string
+}
+
+func (b *broken) Addr() net.Addr { return b.relay.Addr("c") }
+
+// log returns the faults that have fired, by connection and direction.
+func (b *broken) log() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := slices.Clone(b.fired)
+	slices.Sort(list)
+	return strings.Join(list, "\n")
+}
+
+// breaking starts a relay to an address that breaks traffic by rules, each for the link c.
+func breaking(t *testing.T, target string, rules ...string) *broken {
+	t.Helper()
+	script, err := fault.Parse(fmt.Sprintf("seed 3\nlink c listen 127.0.0.1:0 to %s\n%s", target, strings.Join(rules, "\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &broken{}
+	if b.relay, err = relay.Start(script, func(e fault.Event) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.fired = append(b.fired, e.String())
+	}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.relay.Close)
+	return b
+}
+
+// startBehind starts the program with the cache and the origin at the given places.
+func (w *world) startBehind(cache, origin net.Listener) {
+	w.t.Helper()
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", cache), member("o1", "origin", "hub", "SERVING", origin)))
+	w.awaitAlive("200")
+}
+
+// A write whose connection is reset, whenever that is, runs once at most and has one outcome.
+func TestResetAroundAWrite(t *testing.T) {
+	const either = -1
+	for rule, runs := range map[string]int{
+		"c up byte 0 : reset":              either, // as it comes up: if nothing was written yet, it is sent again
+		"c up byte 60 : reset":             0,      // in the middle of the call
+		`c up match "the end\r\n" : reset`: 1,      // just after it
+		`c down match "*4\r\n" : reset`:    1,      // as the answer begins
+		`c down match "wri" : reset`:       1,      // in the middle of it
+		`c down match "wri" : halfclose`:   1,
+	} {
+		w := prepare(t)
+		origin := breaking(t, w.origin.Addr().String(), strings.Replace(rule, "c ", "c conn 1 ", 1))
+		w.startBehind(w.cache, origin)
+		var ran []*call
+		var mu sync.Mutex
+		go func() {
+			for got := range w.origin.calls {
+				mu.Lock()
+				ran = append(ran, got)
+				mu.Unlock()
+				got.answer("served", "-", "written")
+			}
+		}()
+		c := w.dial()
+		c.ask(1, "registro", 2000, 1, "a body up to the end")
+		a := receive(t, c.answers, "outcome")
+		if a.id != 1 || a.status == "200" && runs != either {
+			t.Errorf("%s: %+v", rule, a)
+		}
+		if runs == either { // it ran once just where it was answered so
+			runs = map[string]int{"200": 1}[a.status]
+		}
+		c.ask(2, "registro", longWait, 2, "x") // comes to the origin over a sound connection, after all of the first
+		if a := receive(t, c.answers, "answer"); a.id != 2 || a.status != "200" {
+			t.Errorf("%s, then: %+v", rule, a)
+		}
+		mu.Lock()
+		if len(ran) != runs+1 {
+			t.Errorf("%s: the first ran %d times, want %d", rule, len(ran)-1, runs)
+		}
+		mu.Unlock()
+	}
+}
+
+// A coordinator that falls silent in the middle of the line that tells of a drain: once told again, the drain is kept.
+func TestCoordinatorSilentInADrain(t *testing.T) {
+	t.Parallel()
+	w := prepare(t)
+	w.via = func(addr string) string {
+		return breaking(t, addr, `c down conn 1 match "DRAIN" : silence`).Addr().String()
+	}
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("c2", "std", "edge", "SERVING", second),
+		member("o1", "origin", "hub", "SERVING", w.origin)))
+	receive(t, w.follows, "follow")
+	drain := list(2, false, member("c1", "std", "edge", "DRAINING", w.cache))
+	w.tell(drain)
+	if got := receive(t, w.follows, "follow anew"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+	w.tell(drain)
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// A client that is gone with the last byte of its request: whatever had begun is stopped, and nothing follows.
+func TestClientGoneWithItsRequest(t *testing.T) {
+	w := newWorld(t)
+	front := breaking(t, w.addr, `c up conn 1 match "\x01\x05\x00\x01\x00\x00\x00\x00" : reset`)
+	conn, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	newClient(conn).ask(1, "artes", longWait, 1, "")
+	w.eventually("the reset", func() bool { return front.log() != "" })
+	other := w.dial()
+	other.ask(1, "artes", longWait, 77, "")
+	for {
+		got := receive(t, w.cache.calls, "call")
+		if got.fields["k"] == fmt.Sprintf("%016x", 77) {
+			got.answer("served", "-", "")
+			break
+		}
+		receive(t, w.cache.stops, "STOP")
+		got.answer("overload", "-", "") // nobody asks again
+	}
+	receive(t, other.answers, "answer")
+	if len(w.cache.calls)+len(w.origin.calls) > 0 {
+		t.Error("something was sent for a client that is gone")
+	}
+}
+
+// Answers that are half written when the program is told to stop arrive whole.
+func TestStopWithAnswersHalfWritten(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	front := breaking(t, w.addr, "c down byte 300000 : silence 1500ms")
+	conn, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c := newClient(conn)
+	for id := range uint16(20) {
+		c.ask(id+1, "artes", longWait, int(id), "")
+	}
+	for range 20 {
+		receive(t, w.cache.calls, "call").answer("served", "-", strings.Repeat("x", 240_000))
+	}
+	w.eventually("the silence", func() bool { return front.log() != "" })
+	w.signal(syscall.SIGTERM)
+	for range 20 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Errorf("%d: %s, %d bytes", a.id, a.status, len(a.body))
+		}
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Answers that end early, come twice or under another name cost their own attempt alone: each request has one outcome.
+func TestSpoiltAnswersThroughTheRelay(t *testing.T) {
+	for rule, want := range map[string]string{
+		"c down conn 1 byte 40 : close":      "200", // asked again
+		"c down conn 1 byte 40 : reset":      "200",
+		"c down conn 1 byte 40 : halfclose":  "200",
+		"c down conn 1 byte 0 : repeat 66":   "200", // the whole answer twice
+		"c down conn 1 byte 12 : garble 4":   "",    // nobody's answer: the time runs out
+		"c down conn 1 byte 0 : garble 20":   "200",
+		"c down conn 1 byte 45 : drop 5":     "",
+		"c down conn 1 byte 30 : silence 1s": "200",
+	} {
+		w := prepare(t)
+		w.startBehind(breaking(t, w.cache.Addr().String(), rule), w.origin)
+		w.cache.serve("served", "made=1,note=TCP_HIT", "whole")
+		w.origin.serve("served", "made=1", "whole")
+		c := w.dial()
+		c.ask(1, "artes", 2500, 1, "")
+		if a := receive(t, c.answers, "outcome"); a.id != 1 || want != "" && a.status != want || a.status == "200" && a.body != "whole" {
+			t.Errorf("%s: %+v", rule, a)
+		}
+		for id := range uint16(3) {
+			c.ask(id+2, "artes", longWait, int(id), "")
+			if a := receive(t, c.answers, "answer"); a.id != id+2 || a.status != "200" || a.body != "whole" {
+				t.Errorf("%s, then: %+v", rule, a)
+			}
+		}
+	}
+}
+
+// soakTime is how long the script is played: seconds with the other tests, minutes where FAULT_SOAK says so.
+func soakTime(t *testing.T) time.Duration {
+	text := os.Getenv("FAULT_SOAK")
+	if text == "" {
+		return 5 * time.Second
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// soak plays one script on both sides of the program and its coordinator, with the same traffic, and returns the
+// outcomes that the program has counted and the faults that have fired.
+func soak(t *testing.T, length time.Duration) (figures, faults string) {
+	w := prepare(t)
+	w.cache.serve("served", "made=1,note=TCP_HIT", strings.Repeat("c", 500))
+	w.origin.serve("served", "made=1", strings.Repeat("o", 200))
+	cache := breaking(t, w.cache.Addr().String(), "c down every 2 byte 7000 : reset", "c down byte 9100 : close",
+		"c down every 3 byte 5000 : garble 9", "c up : pieces 50", "c : delay 1ms", "c down every 5 byte 3000 : repeat 600")
+	origin := breaking(t, w.origin.Addr().String(), "c down byte 1100 : reset", "c up every 5 byte 900 : reset",
+		"c down every 3 byte 700 : halfclose")
+	var feed *broken
+	w.via = func(addr string) string {
+		feed = breaking(t, addr, "c down every 2 byte 400 : reset", "c down every 3 byte 300 : garble 3")
+		return feed.Addr().String()
+	}
+	w.startBehind(cache, origin)
+	front := breaking(t, w.addr, "c up every 3 byte 2500 : reset", "c down byte 14000 : close", "c : pieces 70")
+	steps := int(length / (25 * time.Millisecond))
+	next := time.Now()
+	var c *client
+	lost := 0
+	for i := range steps {
+		time.Sleep(time.Until(next)) // the traffic's pace
+		next = next.Add(25 * time.Millisecond)
+		if c == nil || i%40 == 0 {
+			conn, err := net.Dial("tcp", front.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			c = newClient(conn)
+		}
+		class := "artes"
+		if i%3 == 0 {
+			class = "registro"
+		}
+		c.ask(uint16(i%1000+1), class, 5000, i%17, "")
+		switch a := receive(t, c.answers, "outcome"); {
+		case a.id == 0: // its connection was broken: the request has no outcome at the client's end
+			lost++
+			c = nil
+		case int(a.id) != i%1000+1:
+			t.Fatalf("step %d: %+v", i, a)
+		}
+	}
+	w.eventually("nothing is open", func() bool { return w.figure("svc_open_requests") == 0 })
+	_, stats := w.operate("GET", "/ops/stats")
+	for _, line := range strings.Split(stats, "\n") {
+		if strings.HasPrefix(line, "svc_operations") {
+			figures += line + "\n"
+		}
+	}
+	t.Logf("%d requests, %d on broken connections\n%s", steps, lost, figures)
+	return figures, strings.Join([]string{cache.log(), origin.log(), front.log()}, "\n--\n")
+}
+
+// Two runs of one script with one seed have the same faults and the same outcomes at the program.
+func TestSameScriptSameOutcomes(t *testing.T) {
+	t.Parallel()
+	length := soakTime(t)
+	var figures, faults [2]string
+	var both sync.WaitGroup
+	for i := range figures {
+		both.Go(func() { figures[i], faults[i] = soak(t, length) })
+	}
+	both.Wait()
+	if figures[0] != figures[1] {
+		t.Errorf("outcomes differ:\n%s\nand\n%s", figures[0], figures[1])
+	}
+	if faults[0] != faults[1] || strings.Count(faults[0], "\n") < 10 {
+		t.Errorf("faults differ:\n%s\nand\n%s", faults[0], faults[1])
+	}
+	t.Logf("%d faults", strings.Count(faults[0], "line"))
+}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -165,8 +165,9 @@
 	follows       chan string // 'follow' lines
 	mu            sync.Mutex
 	feed          net.Conn
-	listener      net.Listener // of the coordinator
-	down          bool         // it is down at the start
+	listener      net.Listener             // of the coordinator
+	down          bool                     // it is down at the start
+	via           func(addr string) string // where the program finds it instead; nil: at its own address
 	cache, origin *server
 	exit          chan error
 	log           *os.File // of the program
@@ -196,11 +197,15 @@
 
 func (w *world) start(known ...any) {
 	w.addr, w.admin = freeAddr(w.t), freeAddr(w.t)
+	coordinator := w.coordinator()
+	if w.via != nil {
+		coordinator = w.via(coordinator)
+	}
 	class := func(name, effect string) map[string]any {
 		return map[string]any{"name": name, "semantics": effect, "promise-us": 500000, "gain": 1}
 	}
 	w.cmd, w.config = program(w.t, map[string]any{
-		"name": "n1", "listen": w.addr, "admin_addr": w.admin, "seed": "8c1f30d27a5be964", "coordinator": w.coordinator(),
+		"name": "n1", "listen": w.addr, "admin_addr": w.admin, "seed": "8c1f30d27a5be964", "coordinator": coordinator,
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":  map[string]any{"index": len(known), "updates": known},
 		"settings": map[string]any{
--- /dev/null
+++ b/cmd/faultproxy/main_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestBadCalls(t *testing.T) {
+	good := "link a listen 127.0.0.1:0 to 127.0.0.1:9\n"
+	for want, args := range map[string][]string{
+		"-script FILE is wanted":    {},
+		"flag provided but not":     {"-nonsense"},
+		"no such file":              {"-script", "/nowhere/at/all"},
+		"line 2: explode":           {"-script", write(t, good+"a : explode")},
+		"under 0":                   {"-script", write(t, good), "-for", "-3s"},
+		"two logs":                  {"-compare", "one"},
+		"listen: 10.1.2.3:1 is not": {"-script", write(t, "link a listen 10.1.2.3:1 to 127.0.0.1:9")},
+	} {
+		if err := run(args, io.Discard); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: %v", args, err)
+		}
+	}
+	if err := run([]string{"-script", write(t, good), "-check"}, io.Discard); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCompare(t *testing.T) {
+	a := write(t, "c#1 up 3 line 4 reset\nc#2 up 9 line 5 drop\nc#1 down 7 line 4 close\n")
+	b := write(t, "c#2 up 9 line 5 drop\nc#1 up 3 line 4 reset\nc#1 down 7 line 4 close\n")
+	if err := run([]string{"-compare", a, b}, io.Discard); err != nil {
+		t.Error(err)
+	}
+	for _, other := range []string{"c#1 up 3 line 4 reset\n", "", "c#1 up 3 line 4 reset\nc#2 up 8 line 5 drop\nc#1 down 7 line 4 close\n"} {
+		if err := run([]string{"-compare", a, write(t, other)}, io.Discard); err == nil {
+			t.Errorf("%q passes for the same", other)
+		}
+	}
+}
+
+// A run relays, logs what fires, and ends in good order at a signal.
+func TestRun(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	free, err := net.Listen("tcp", "127.0.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, log := free.Addr().String(), filepath.Join(t.TempDir(), "log")
+	free.Close()
+	script := write(t, "link a listen "+addr+" to "+target.Addr().String()+"\na up byte 3 : close\n")
+	ended := make(chan error, 1)
+	go func() { ended <- run([]string{"-script", script, "-log", log, "-for", "1m"}, io.Discard) }()
+	var conn net.Conn
+	for end := time.Now().Add(20 * time.Second); conn == nil; {
+		if conn, err = net.Dial("tcp", addr); err != nil && time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	defer conn.Close()
+	io.WriteString(conn, "abcdef") //nolint:errcheck // shows at the other end
+	got, err := target.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer got.Close()
+	if text, _ := io.ReadAll(got); string(text) != "abc" { // a reset may follow the close
+		t.Errorf("%q", text)
+	}
+	if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if text, err := os.ReadFile(log); err != nil || string(text) != "a#1 up 3 line 2 close\n" {
+		t.Errorf("%q %v", text, err)
+	}
+}
--- /dev/null
+++ b/internal/fault/fault_test.go
@@ -0,0 +1,201 @@
+package fault
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const links = "link c listen 127.0.0.1:7100 to 127.0.0.1:7001\nlink d listen [::1]:0 to 127.0.0.1:7002\n"
+
+func mustParse(t *testing.T, text string) *Script {
+	t.Helper()
+	s, err := Parse(links + text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Whatever can't be carried out is turned down before anything starts, with its line and field.
+func TestBadScripts(t *testing.T) {
+	for text, want := range map[string]string{
+		"":       "no link",
+		"seed x": "line 1: seed:",
+		"link c listen 10.0.0.1:1 to 127.0.0.1:1":                              "line 1: listen: 10.0.0.1:1 is not on loopback",
+		"link c listen 127.0.0.1:1 to 192.168.1.1:1":                           "line 1: to: 192.168.1.1:1 is not on loopback",
+		"link c listen 127.0.0.1:1 to nowhere":                                 "line 1: to:",
+		links + "link c listen 127.0.0.1:1 to 127.0.0.1:2":                     "line 3: link: c is named twice",
+		links + "x up : reset":                                                 "line 3: x:",
+		links + "c up : explode":                                               "line 3: explode: unknown fault",
+		links + "c up":                                                         "line 3: no fault",
+		links + "c sideways : reset":                                           "line 3: sideways: unknown field",
+		links + "c time -2s : reset":                                           "line 3: time:",
+		links + "c byte -1 : reset":                                            "line 3: byte:",
+		links + "c conn 0 : reset":                                             "line 3: conn:",
+		links + "c chance 1.5 : reset":                                         "line 3: chance:",
+		links + "c chance NaN : reset":                                         "line 3: chance:",
+		links + "c match x : reset":                                            "line 3: match:",
+		links + `c match "" : reset`:                                           "line 3: match:",
+		links + `c match "x : reset`:                                           "line 3: a quoted word",
+		links + "c nth 2 : reset":                                              "line 3: nth:",
+		links + "c time 1s byte 5 : reset":                                     "line 3: time: only one",
+		links + "c conn 1 every 2 : reset":                                     "line 3: conn: only one",
+		links + "c : delay":                                                    "line 3: delay:",
+		links + "c : delay 5ms size 3":                                         "line 3: size:",
+		links + "c : reset for 3s":                                             "line 3: for:",
+		links + "c : garble 0":                                                 "line 3: garble:",
+		links + "c : repeat 9999999":                                           "line 3: repeat:",
+		links + "c : refuse":                                                   "line 3: refuse: a time is wanted",
+		links + "c up conn 2 : refuse 1s":                                      "line 3: refuse: goes with",
+		links + "c conn 2 byte 5 : stall 1s":                                   "line 3: stall: goes with",
+		links + "c up byte 5 : reset\nc byte 5 : close":                        "line 4: close: contradicts reset in line 3",
+		links + "c conn 4 byte 5 : reset\nc up every 2 byte 5 : silence":       "line 4: silence: contradicts reset",
+		links + "c time 1s : delay 1ms for 3s\nc time 2s : delay 5ms for 1s":   "line 4: delay: contradicts delay",
+		links + "c time 1s : refuse 3s\nc time 2s : stall 5s":                  "line 4: stall: contradicts refuse",
+		links + `c up match "a" : garble 3` + "\n" + `c up match "a" : drop 2`: "line 4: drop: contradicts garble",
+	} {
+		if _, err := Parse(text); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	mustParse(t, "seed 7 # a comment\n\nc up byte 5 : reset\nc down byte 5 : close\nd byte 5 : reset\n"+
+		"c time 1s : delay 1ms jitter 2ms for 1s\nc time 2s : delay 5ms\nc conn 3 : refuse 1s\nc conn 3 byte 9 : garble 2\n")
+}
+
+// play feeds a stream in reads of the given size and returns what comes out, and how it ends.
+func play(s *Stream, data []byte, size int) (out []byte, end End) {
+	for len(data) > 0 {
+		n := min(size, len(data))
+		for _, op := range s.Feed(data[:n], 0) {
+			out = append(out, op.Data...)
+			end = max(end, op.End)
+		}
+		data = data[n:]
+	}
+	for _, op := range s.Finish(0) {
+		out = append(out, op.Data...)
+		end = max(end, op.End)
+	}
+	return out, end
+}
+
+// The same bytes meet the same faults, however they are cut into reads; the same seed draws the same connections.
+func TestFaultsDoNotDependOnReads(t *testing.T) {
+	script := mustParse(t, `seed 9
+c up match "REQ" nth 3 : garble 5
+c up byte 100 : drop 7
+c up byte 200 : repeat 9
+c up every 2 byte 333 : reset
+c up chance 0.5 byte 250 : halfclose
+`)
+	var data []byte
+	for i := range 60 {
+		data = append(data, fmt.Sprintf("REQ %d;", i)...)
+	}
+	for number := 1; number <= 20; number++ {
+		var want []byte
+		var wantEnd End
+		var log string
+		for _, size := range []int{1 << 20, 1, 2, 7, 100} {
+			c := script.Conn("c", number, 0)
+			out, end := play(c.Stream(Up), data, size)
+			events := fmt.Sprint(c.Events())
+			if size == 1<<20 {
+				want, wantEnd, log = out, end, events
+			} else if !bytes.Equal(out, want) || end != wantEnd || events != log {
+				t.Fatalf("connection %d in reads of %d: %s, and %s in one", number, size, events, log)
+			}
+		}
+	}
+}
+
+func TestVerbs(t *testing.T) {
+	const data = "abcdefghij"
+	for rule, want := range map[string]struct {
+		out string
+		end End
+	}{
+		"c : delay 0s":            {data, HalfClosed},
+		"c byte 3 : reset":        {"abc", WasReset},
+		"c byte 0 : reset":        {"", WasReset},
+		`c match "cd" : close`:    {"abcd", Closed},
+		`c match "x" : close`:     {data, HalfClosed},
+		"c byte 4 : halfclose":    {"abcd", HalfClosed},
+		"c byte 2 : drop 3":       {"abfghij", HalfClosed},
+		"c byte 2 : repeat 2":     {"abcdcdefghij", HalfClosed},
+		"c up byte 8 : drop 99":   {"abcdefgh", HalfClosed},
+		"c down byte 3 : reset":   {data, HalfClosed},
+		"c conn 2 byte 3 : reset": {data, HalfClosed},
+		"d byte 3 : reset":        {data, HalfClosed},
+	} {
+		out, end := play(mustParse(t, rule).Conn("c", 1, 0).Stream(Up), []byte(data), 4)
+		if string(out) != want.out || end != want.end {
+			t.Errorf("%s: %q %d, want %q %d", rule, out, end, want.out, want.end)
+		}
+	}
+	out, _ := play(mustParse(t, "c byte 2 : garble 3").Conn("c", 1, 0).Stream(Up), []byte(data), 4)
+	for i, b := range out {
+		if changed := b != data[i]; changed != (i >= 2 && i < 5) {
+			t.Errorf("garbled: %q", out)
+		}
+	}
+}
+
+// Bytes keep their order and their distance in time by delay, rate, pieces and silence, for as long as those last.
+func TestTimes(t *testing.T) {
+	const ms = time.Millisecond
+	due := func(rule string, now time.Duration) (times []time.Duration, sizes []int) {
+		s := mustParse(t, rule).Conn("c", 1, 0).Stream(Up)
+		for _, op := range s.Feed(make([]byte, 100), now) {
+			times, sizes = append(times, op.Due), append(sizes, len(op.Data))
+		}
+		return times, sizes
+	}
+	for _, tt := range []struct {
+		rule string
+		now  time.Duration
+		want string
+	}{
+		{"c : delay 20ms", 5 * ms, "[25ms] [100]"},
+		{"c : delay 20ms for 1s", 2 * time.Second, "[2s] [100]"},
+		{"c : rate 1000", 0, "[100ms] [100]"},
+		{"c : pieces 40", 0, "[1ms 2ms 3ms] [40 40 20]"},
+		{"c byte 60 : silence 3s", 0, "[0s 3s] [60 40]"},
+		{"c time 1s : silence 3s", 0, "[0s] [100]"},
+		{"c time 1s : silence 3s", 2 * time.Second, "[5s] [100]"},
+	} {
+		times, sizes := due(tt.rule, tt.now)
+		if got := fmt.Sprint(times, sizes); got != tt.want {
+			t.Errorf("%s at %v: %s, want %s", tt.rule, tt.now, got, tt.want)
+		}
+	}
+	s := mustParse(t, "c : delay 10ms jitter 50ms").Conn("c", 1, 0).Stream(Up)
+	last := time.Duration(0)
+	for i := range 100 {
+		for _, op := range s.Feed([]byte("x"), time.Duration(i)*ms) {
+			if op.Due < last || op.Due < time.Duration(i+10)*ms || op.Due > time.Duration(i+60)*ms+50*ms {
+				t.Errorf("byte %d is due at %v after %v", i, op.Due, last)
+			}
+			last = op.Due
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(links + "c up conn 2 match \"x\" nth 3 : garble 7\nd time 1s : silence 2s")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse(text)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("%q in more than one line", err)
+			}
+			return
+		}
+		for _, l := range s.Links {
+			play(s.Conn(l.Name, 1, 0).Stream(Up), []byte(text), 5)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,283 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cloverdoor/internal/fault"
+)
+
+const patience = 20 * time.Second
+
+// rig is a relay before a server that sends back what it gets, and the faults that have fired.
+type rig struct {
+	t     *testing.T
+	relay *Relay
+	mu    sync.Mutex
+	fired []string
+}
+
+func newRig(t *testing.T, rules string) *rig {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(conn, conn) //nolint:errcheck // shows at the other end
+				conn.Close()
+			}()
+		}
+	}()
+	script, err := fault.Parse(fmt.Sprintf("link c listen 127.0.0.1:0 to %s\n%s", ln.Addr(), rules))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &rig{t: t}
+	if g.relay, err = Start(script, func(e fault.Event) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.fired = append(g.fired, e.String())
+	}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.relay.Close)
+	return g
+}
+
+func (g *rig) dial() *net.TCPConn {
+	g.t.Helper()
+	c, err := net.DialTimeout("tcp", g.relay.Addr("c").String(), patience)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience)) //nolint:errcheck // shows in what is read
+	return c.(*net.TCPConn)
+}
+
+// exchange sends text and its end, and returns what comes back.
+func (g *rig) exchange(text string) (string, error) {
+	c := g.dial()
+	io.WriteString(c, text) //nolint:errcheck // shows in what is read
+	c.CloseWrite()          //nolint:errcheck // as above
+	got, err := io.ReadAll(c)
+	return string(got), err
+}
+
+func TestRelayCarriesOutThePlan(t *testing.T) {
+	for rule, want := range map[string]string{
+		"":                          "abcdefghij",
+		"c up byte 2 : drop 3":      "abfghij",
+		"c down byte 2 : repeat 2":  "abcdcdefghij",
+		"c : pieces 3":              "abcdefghij",
+		"c down byte 4 : halfclose": "abcd",
+		"c up byte 4 : halfclose":   "abcd",
+		"c up : delay 30ms":         "abcdefghij",
+		"c down byte 5 : close":     "abcde",
+	} {
+		if got, err := newRig(t, rule).exchange("abcdefghij"); got != want || err != nil {
+			t.Errorf("%s: %q %v, want %q", rule, got, err, want)
+		}
+	}
+	for _, rule := range []string{"c up byte 5 : reset", `c down match "cd" : reset`} {
+		g := newRig(t, rule)
+		if got, err := g.exchange("abcdefghij"); !errors.Is(err, syscall.ECONNRESET) || len(got) > 4 {
+			t.Errorf("%s: %q %v", rule, got, err)
+		}
+	}
+	c, err := net.DialTimeout("tcp", newRig(t, "c : reset").relay.Addr("c").String(), patience)
+	if err == nil { // the reset may also come as early as this
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience)) //nolint:errcheck // shows in what is read
+		_, err = c.Read(make([]byte, 1))
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("reset at the beginning: %v", err)
+	}
+}
+
+// A fault by time comes while nothing is sent; a connect is refused, and one that stalls comes up when that is over.
+func TestFaultsByTimeAndBeforeConnections(t *testing.T) {
+	g := newRig(t, "c conn 1 time 300ms : reset\nc conn 2 : refuse 500ms\nc conn 3 : stall 1500ms")
+	first := g.dial()
+	g.await("c#2 both - line 3 refuse")
+	if _, err := net.DialTimeout("tcp", g.relay.Addr("c").String(), patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("while refused: %v", err)
+	}
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("by time: %v", err)
+	}
+	for {
+		c, err := net.DialTimeout("tcp", g.relay.Addr("c").String(), patience)
+		if err == nil {
+			g.t.Cleanup(func() { c.Close() })
+			break
+		}
+	}
+	g.await("c#3 both - line 4 stall")
+	if c, err := net.DialTimeout("tcp", g.relay.Addr("c").String(), 50*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("came up while stalled")
+	}
+	if got, err := g.exchange("again"); got != "again" || err != nil {
+		t.Errorf("after the stall: %q %v", got, err)
+	}
+}
+
+func (g *rig) await(event string) {
+	g.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		found := slices.Contains(g.fired, event)
+		g.mu.Unlock()
+		if found {
+			return
+		}
+		if time.Now().After(end) {
+			g.t.Fatalf("%q never fired: %q", event, g.fired)
+		}
+	}
+}
+
+// A reader that stalls holds up its own connection alone, and what lies between is bounded.
+func TestStalledReaderHoldsUpItself(t *testing.T) {
+	g := newRig(t, "")
+	stuck := g.dial()
+	var sent int64
+	stuck.SetWriteDeadline(time.Now().Add(500 * time.Millisecond)) //nolint:errcheck // shows in the writes
+	for block := make([]byte, 64<<10); ; {
+		n, err := stuck.Write(block)
+		if sent += int64(n); err != nil {
+			break
+		}
+		if sent > 256<<20 {
+			t.Fatal("the relay takes all there is")
+		}
+	}
+	if got, err := g.exchange("other"); got != "other" || err != nil {
+		t.Errorf("%q %v", got, err)
+	}
+}
+
+// Two runs of one script with the same traffic log the same faults.
+func TestSameRunSameLog(t *testing.T) {
+	run := func() string {
+		g := newRig(t, "seed 5\nc up chance 0.4 byte 3 : garble 2\nc every 3 byte 4 : reset\nc down match \"ef\" : drop 2\n")
+		for range 20 {
+			g.exchange("abcdefghij") //nolint:errcheck // some are reset
+		}
+		g.relay.Close()
+		return strings.Join(g.fired, "\n")
+	}
+	sorted := func(log string) string {
+		list := strings.Split(log, "\n")
+		slices.Sort(list)
+		return strings.Join(list, "\n")
+	}
+	if a, b := sorted(run()), sorted(run()); a != b || len(a) < 100 {
+		t.Errorf("%s\n\nand\n\n%s", a, b)
+	}
+}
+
+// Nothing is listened on when one address can't be.
+func TestStartFailsWhole(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	script, err := fault.Parse("link a listen 127.0.0.1:0 to 127.0.0.1:9\nlink b listen " + taken.Addr().String() + " to 127.0.0.1:9\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err := Start(script, func(fault.Event) {}); err == nil || !strings.Contains(err.Error(), "link b") {
+		t.Errorf("%v %v", r, err)
+	}
+}
+
+// echo is a round trip of 64 bytes.
+func echo(b *testing.B, addr string) {
+	c, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	block := make([]byte, 64)
+	for b.Loop() {
+		if _, err := c.Write(block); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(c, block); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRoundTrip tells what a relay without faults adds to a direct connection.
+func BenchmarkRoundTrip(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(conn, conn) //nolint:errcheck // shows at the other end
+		}
+	}()
+	script, err := fault.Parse("link c listen 127.0.0.1:0 to " + ln.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	r, err := Start(script, func(fault.Event) {})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.Close()
+	b.Run("direct", func(b *testing.B) { echo(b, ln.Addr().String()) })
+	b.Run("relay", func(b *testing.B) { echo(b, r.Addr("c").String()) })
+	b.Run("memory of 200 connections", func(b *testing.B) {
+		for b.Loop() {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var conns []net.Conn
+			for range 200 {
+				c, err := net.DialTimeout("tcp", r.Addr("c").String(), patience)
+				if err != nil {
+					b.Fatal(err)
+				}
+				io.WriteString(c, "x")          //nolint:errcheck // shows in what is read
+				io.ReadFull(c, make([]byte, 1)) //nolint:errcheck // it is up
+				conns = append(conns, c)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/200, "bytes/connection")
+			for _, c := range conns {
+				c.Close()
+			}
+		}
+	})
+}
