Send a call that moves on once, and give calls up for good before a second copy

Calls whose connection was closed (quiet for 1 s) were never reported. Where the settings allow no second copy, a call given up so that another may follow now closes its connection; one that shares it goes on until its answer or its deadline. Ruled out: a race of STOP and call on their way (50 ms of slack), the deferral of outcomes by the module. TestCallThatComesBackIsSentOnce and TestGivenUpBeforeASecondCopy fail without the mends.

--- a/cmd/cloverdoor/endings_test.go
+++ b/cmd/cloverdoor/endings_test.go
@@ -620,3 +620,36 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// Where no second copy may be out, a call that is given up so that another may follow is given up by the end of its
+// connection: a server that hangs reads no STOP.
+func TestGivenUpBeforeASecondCopy(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.reload(`"second-copies":true`, `"second-copies":false`)
+	w.eventually("taken over", func() bool { return w.figure("svc_cfg_accepted") == 1 })
+	c := w.dial()
+	var silent, next *call
+	w.eventually("a call that is asked again", func() bool { // soon after an answer its server is not quiet yet
+		c.ask(1, "artes", longWait, 1, "")
+		receive(t, w.cache.calls, "call").answer("served", "made=1,note=TCP_HIT", "warm")
+		receive(t, c.answers, "answer")
+		c.ask(2, "artes", longWait, 2, "")
+		silent = receive(t, w.cache.calls, "call")
+		select {
+		case next = <-w.cache.calls:
+		case next = <-w.origin.calls:
+		case <-time.After(patience):
+			t.Fatal("not asked again")
+		}
+		return next.words[1] == silent.words[1]
+	})
+	w.eventually("the first connection has ended", func() bool {
+		_, err := silent.conn.Write([]byte("*4\r\n$16\r\nffffffffffffffff\r\n$6\r\nnobody\r\n$1\r\n-\r\n$0\r\n\r\n"))
+		return err != nil
+	})
+	next.answer("served", "made=1", "again")
+	if a := receive(t, c.answers, "answer"); a.id != 2 || a.body != "again" {
+		t.Errorf("%+v", a)
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -21,6 +21,7 @@
 	target  string
 	created net.Clock
 	on      *upstream // nil: it got no connection
+	place   int       // how often it has been put on a connection
 	started bool      // its first byte has been written: it may run
 	ended   bool
 }
@@ -47,7 +48,8 @@
 func (a *attempt) put(slot *net.Slot, moves int) {
 	a.on = slot.Owner.(*upstream)
 	a.on.calls[a.req.ID] = a
-	slot.Send(sending{a, a.on})
+	a.place++
+	slot.Send(sending{a, a.place})
 	if slot.Up() || moves == 0 {
 		return
 	}
@@ -65,17 +67,18 @@
 	})
 }
 
-// sending is a call that is queued on a connection.
+// sending is a call in the queue of a connection. Only the place where it was put last counts. The danger: one that
+// moves on and comes back to a connection that is up by then is in its queue twice, and would be sent twice.
 type sending struct {
 	*attempt
-	on *upstream
+	place int
 }
 
 // Encode makes the call when its first byte is about to go. The module is asked once more: while the call
 // waited for its connection its target may have been drained or its object purged.
 func (s sending) Encode() ([]byte, bool) {
 	a := s.attempt
-	if a.ended || a.on != s.on { // or moved on
+	if a.ended || a.started || a.place != s.place {
 		return nil, false
 	}
 	if a.req.finished { // answered or given up since, perhaps in this very turn
@@ -131,6 +134,18 @@
 	resp.Overload: policy.ResultFull, resp.Crashed: policy.ResultError, resp.Nobody: policy.ResultMoot,
 }
 
+// mustClose says that a call is given up so that another may follow, where no second one may be out. The danger: a
+// server that hangs does not read the STOP; only the end of its connection gives up what is open on it.
+func (p *Proxy) mustClose(a *attempt) bool {
+	return !p.set.Policy.SecondCopies && a.started && !a.req.finished
+}
+
+// mayCancel says whether a call can be given up: one that must close its connection only where no other call is on it.
+// It goes on then, until its answer or its deadline.
+func (p *Proxy) mayCancel(a *attempt) bool {
+	return !p.mustClose(a) || a.ended || a.on.slot.Load == 1
+}
+
 // end ends an attempt and tells the module of it, once. A call that is out is stopped.
 func (p *Proxy) end(a *attempt, ans resp.Answer, result policy.Result) {
 	if a.ended {
--- /dev/null
+++ b/internal/proxy/attempt_test.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"encoding/json"
+	"io"
+	"log"
+	stdnet "net"
+	"strings"
+	"testing"
+	"time"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
+	"cloverdoor/internal/settings"
+)
+
+type deaf struct{}
+
+func (deaf) Respond(Answer) {}
+
+// A call that moves on from a late connection and comes back to it, as it is up by then, is in its queue twice: it is
+// sent once all the same. The danger: a write would run twice.
+func TestCallThatComesBackIsSentOnce(t *testing.T) {
+	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	seen := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				conn.SetReadDeadline(time.Now().Add(time.Second)) //nolint:errcheck // ends the read
+				text, _ := io.ReadAll(conn)
+				seen <- string(text)
+			}()
+		}
+	}()
+	set, err := settings.Decode(json.RawMessage(`{"areas":["hub"],"host-types":["std","parent","origin"],"group-size":1,
+		"classes":[{"name":"w","semantics":"non_idempotent","promise-us":500000,"gain":1}],
+		"domain":{"direct":true,"root-kind":2,"upper-kind":1,"pass-on":[true]},"limits":{"may-cancel":true,"max-attempts":4}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop, err := net.NewLoop()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := New(loop, Config{Settings: set, Sockets: 100, Memory: 1 << 26, Known: feed.Known{Index: 1, Updates: []feed.Event{{Index: 1,
+		Endpoints: &feed.Endpoints{Full: true, Servers: []feed.Server{{ID: "o", Addr: ln.Addr().String(), Zone: "hub", Kind: "origin",
+			State: feed.Serving, Weight: 100}}}}}}}, log.New(io.Discard, "", 0))
+	number := p.Submit(Request{ID: "9b1f03aa5c7e2d41", Name: "w", Object: "7f3a9c21e0b4d655", Wait: time.Minute}, deaf{})
+	p.consult() // the call is queued on a connection that is not up yet
+	a := p.requests[number].attempts[0]
+	first := a.on.slot
+	second, err := p.pools.Reassign(first, func(s *net.Slot) bool { return s != first })
+	if err != nil || second == first {
+		t.Fatal("no other connection", err)
+	}
+	a.put(second, 0)
+	a.put(first, 0)
+	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end) || !a.started; {
+		if err := loop.Wait(10 * time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		loop.Flush()
+	}
+	if text := <-seen + <-seen; strings.Count(text, "REQ") != 1 {
+		t.Errorf("%q", text)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -334,7 +334,7 @@
 	case policy.Fail:
 		p.answer(p.requests[a.ID], Answer{Status: Failed})
 	case policy.Cancel:
-		if q := p.requests[a.ID]; q != nil && a.Attempt < len(q.attempts) {
+		if q := p.requests[a.ID]; q != nil && a.Attempt < len(q.attempts) && p.mayCancel(q.attempts[a.Attempt]) {
 			p.end(q.attempts[a.Attempt], resp.Answer{}, policy.ResultCancelled)
 		}
 	case policy.StartTimer:
