Pass a client's idempotency key on to the caches

Front.parse did not read it, resp.Call had no place for it. Change: up to 64 plain characters are passed on with every attempt, others are turned down, as they could not pass unchanged. TestIdempotencyKeyIsPassedOn fails without it.

--- a/cmd/cloverdoor/endings_test.go
+++ b/cmd/cloverdoor/endings_test.go
@@ -653,3 +653,35 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// A client's idempotency key passes on unchanged, with every attempt: caches know a repeat by it.
+func TestIdempotencyKeyIsPassedOn(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "", "HTTP_REQ_TOKEN", "a-Key_7.x")
+	first := receive(t, w.cache.calls, "call")
+	if first.fields["i"] != "a-Key_7.x" {
+		t.Errorf("%q", first.words)
+	}
+	first.answer("overload", "-", "")
+	select {
+	case again := <-w.cache.calls:
+		first = again
+	case again := <-w.origin.calls:
+		first = again
+	case <-time.After(patience):
+		t.Fatal("not asked again")
+	}
+	if first.answer("served", "made=1", "fine"); first.fields["i"] != "a-Key_7.x" {
+		t.Errorf("%q", first.words)
+	}
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	for _, bad := range []string{"a,b", "a=b", "a b", strings.Repeat("x", 65)} {
+		c.ask(2, "artes", longWait, 2, "", "HTTP_REQ_TOKEN", bad)
+		if a := receive(t, c.answers, "answer"); a.status != "400" {
+			t.Errorf("%q: %+v", bad, a)
+		}
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -92,7 +92,7 @@
 	}
 	c := resp.Call{
 		ID: a.req.ID, Class: a.req.Name, Object: a.req.Object, Part: strconv.Itoa(a.req.Part),
-		Wait: max(a.req.deadline-a.p.loop.Now(), time.Millisecond), Keep: f.Keep, MaxAge: f.MaxAge, Have: a.req.Version,
+		Wait: max(a.req.deadline-a.p.loop.Now(), time.Millisecond), Keep: f.Keep, MaxAge: f.MaxAge, Have: a.req.Version, Token: a.req.Token,
 		Coalesce: f.Join, Shallow: f.HeldOnly, Freshen: f.Renew, Body: a.req.Body,
 	}
 	if f.Source != f.Target {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -452,6 +452,9 @@
 	if err := errors.Join(err1, err2, err3); err != nil {
 		return Request{}, fmt.Errorf("Req-Wait-Ms, X-Piece or X-Lot: %w", err)
 	}
+	if in.Token = r.Params["HTTP_REQ_TOKEN"]; !isToken(in.Token) {
+		return Request{}, errors.New("Req-Token must be up to 64 letters, digits and -._~")
+	}
 	in.Wait, in.Part, in.Group = time.Duration(wait)*time.Millisecond, part, group
 	if tag := r.Params["HTTP_X_VER"]; isHex(tag) {
 		in.Version = tag // any other could not be passed on; the whole object is always right
@@ -464,6 +467,11 @@
 	return len(s) == 16 && strings.Trim(s, "0123456789abcdefABCDEF") == ""
 }
 
+// isToken reports what may pass on as an idempotency key, or none.
+func isToken(s string) bool {
+	return len(s) <= 64 && strings.Trim(s, "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-._~") == ""
+}
+
 // number reads a canonical decimal, so that passing it on as a number leaves it unchanged.
 func number(s string, least, most int) (int, error) {
 	n, err := strconv.Atoi(s)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -14,6 +14,7 @@
 	Part    int
 	Group   int
 	Version string        // tag of the copy that the client holds; empty: none
+	Token   string        // idempotency key, by which caches know a repeat; empty: none
 	Wait    time.Duration // how long the client waits, from its last byte
 	Body    []byte
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -34,6 +34,7 @@
 	Keep   int
 	MaxAge time.Duration // 0: the fresh time of the class
 	Have   string        // tag of the client's copy; empty: none
+	Token  string        // idempotency key; empty: none
 
 	Coalesce, Shallow, Transit, Freshen bool
 
@@ -114,6 +115,9 @@
 	if c.Have != "" {
 		add("have", c.Have)
 	}
+	if c.Token != "" {
+		add("i", c.Token)
+	}
 	return f
 }
 
