Let a test move the program's clock, so that two runs of a script always agree

TestSameScriptSameOutcomes played one script twice in real time. Where an answer took over 0.2 s, because the machine was busy, the program asked again (policy: overdueSlack), connections were numbered differently from there on, and the two runs differed: the test failed for a reason that lies in neither script nor program.

Ruled out: a wider tolerance, or fewer faults in the comparison, which would have weakened it; stopping the program for 0.3 s before a request, which changes nothing, as what is ready is read before timers fire.

Change: the event loop takes its time from a TimeSource, the system's clock in service. The test passes a clock of its own to the program over a pipe; it stands still while a request is open and moves on by 25 ms between two, and each step is acknowledged when the program has carried out all that became due. The comparison of outcomes and faults is as it was, and harder: in one of the two runs some answers now take 0.3 s.

--- /dev/null
+++ b/cmd/cloverdoor/clock_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"cloverdoor/internal/net"
+)
+
+// stepSize is the length of a message between a test and a program that goes by the test's clock: a time, or the
+// acknowledgement of one.
+const stepSize = 8
+
+// steps is the clock of a program whose time a test moves on. Time stands still between two steps.
+type steps struct {
+	t          *testing.T
+	now        time.Duration
+	out, acks  *os.File // the test's ends
+	toProgram  *os.File // the program's end of out
+	ackProgram *os.File // and of acks
+}
+
+func newSteps(t *testing.T) *steps {
+	t.Helper()
+	s := &steps{t: t, now: time.Duration(time.Now().UnixNano())}
+	var err1, err2 error
+	s.toProgram, s.out, err1 = os.Pipe()
+	s.acks, s.ackProgram, err2 = os.Pipe()
+	if err := errors.Join(err1, err2); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, f := range []*os.File{s.out, s.acks, s.toProgram, s.ackProgram} {
+			f.Close() //nolint:errcheck // nothing is written any more
+		}
+	})
+	return s
+}
+
+// pass hands the program's ends to a program that has yet to be started.
+func (s *steps) pass(cmd *exec.Cmd) {
+	first := 3 + len(cmd.ExtraFiles)
+	cmd.ExtraFiles = append(cmd.ExtraFiles, s.toProgram, s.ackProgram)
+	cmd.Env = append(cmd.Env, fmt.Sprintf("CLOVERDOOR_TEST_CLOCK=%d", s.now), fmt.Sprintf("CLOVERDOOR_TEST_CLOCK_FD=%d", first))
+}
+
+// advance moves the program's time on. When it returns, the program has carried out all that became due.
+func (s *steps) advance(by time.Duration) {
+	s.t.Helper()
+	s.now += by
+	if _, err := s.out.Write(binary.BigEndian.AppendUint64(nil, uint64(s.now))); err != nil {
+		s.t.Fatal(err)
+	}
+	var ack [stepSize]byte
+	s.acks.SetReadDeadline(time.Now().Add(patience)) //nolint:errcheck // a pipe takes it
+	if _, err := io.ReadFull(s.acks, ack[:]); err != nil {
+		s.t.Fatalf("the program has not carried out a step: %v", err)
+	}
+	if got := time.Duration(binary.BigEndian.Uint64(ack[:])); got != s.now {
+		s.t.Fatalf("the program is at %v, want %v", got, s.now)
+	}
+}
+
+// steppedClock is the other end: the time source of a program that goes by a test's clock.
+type steppedClock struct {
+	now     time.Duration
+	in      int // descriptors
+	acks    int
+	pending bool // a step has been taken and not acknowledged
+}
+
+// lookEvery is how long, in real time, the program waits for readiness before it looks for the next step.
+const lookEvery = time.Millisecond
+
+func (c *steppedClock) Now() net.Clock { return c.now }
+
+// Nap acknowledges the step that the last turn went by, and takes the next one.
+func (c *steppedClock) Nap(wanted time.Duration) time.Duration {
+	var step [stepSize]byte
+	if c.pending {
+		c.pending = false
+		binary.BigEndian.PutUint64(step[:], uint64(c.now))
+		syscall.Write(c.acks, step[:]) //nolint:errcheck // a test that has ended reads no acknowledgement
+	}
+	if n, err := syscall.Read(c.in, step[:]); err == nil && n == stepSize {
+		c.now, c.pending = time.Duration(binary.BigEndian.Uint64(step[:])), true
+	}
+	return min(wanted, lookEvery)
+}
+
+// serveByTestClock runs the program, by a clock that the test moves on if there is one.
+func serveByTestClock() {
+	start, err1 := strconv.ParseInt(os.Getenv("CLOVERDOOR_TEST_CLOCK"), 10, 64)
+	fd, err2 := strconv.Atoi(os.Getenv("CLOVERDOOR_TEST_CLOCK_FD"))
+	if errors.Join(err1, err2) != nil {
+		main()
+		return
+	}
+	syscall.SetNonblock(fd, true) //nolint:errcheck // a pipe takes it
+	serve(&steppedClock{now: time.Duration(start), in: fd, acks: fd + 1})
+}
--- a/cmd/cloverdoor/fault_test.go
+++ b/cmd/cloverdoor/fault_test.go
@@ -214,7 +214,8 @@
 	}
 }
 
-// soakTime is how long the script is played: seconds with the other tests, minutes where FAULT_SOAK says so.
+// soakTime is how long the script is played, by the program's clock: seconds with the other tests, minutes where
+// FAULT_SOAK says so.
 func soakTime(t *testing.T) time.Duration {
 	text := os.Getenv("FAULT_SOAK")
 	if text == "" {
@@ -228,10 +229,21 @@
 }
 
 // soak plays one script on both sides of the program and its coordinator, with the same traffic, and returns the
-// outcomes that the program has counted and the faults that have fired.
-func soak(t *testing.T, length time.Duration) (figures, faults string) {
+// outcomes that the program has counted and the faults that have fired. The program's time stands still while a request
+// is open, and moves on by a step between two: how long the machine takes for anything shows nowhere. Where slow is set,
+// some answers take longer than the program waits for one before it asks again.
+func soak(t *testing.T, length time.Duration, slow bool) (figures, faults string) {
 	w := prepare(t)
-	w.cache.serve("served", "made=1,note=TCP_HIT", strings.Repeat("c", 500))
+	w.clock = newSteps(t)
+	calls := 0
+	go func() {
+		for got := range w.cache.calls {
+			if calls++; slow && calls%50 == 25 {
+				time.Sleep(300 * time.Millisecond) // not a race: the outcomes must not depend on it
+			}
+			got.answer("served", "made=1,note=TCP_HIT", strings.Repeat("c", 500))
+		}
+	}()
 	w.origin.serve("served", "made=1", strings.Repeat("o", 200))
 	cache := breaking(t, w.cache.Addr().String(), "c down every 2 byte 7000 : reset", "c down byte 9100 : close",
 		"c down every 3 byte 5000 : garble 9", "c up : pieces 50", "c : delay 1ms", "c down every 5 byte 3000 : repeat 600")
@@ -244,13 +256,11 @@
 	}
 	w.startBehind(cache, origin)
 	front := breaking(t, w.addr, "c up every 3 byte 2500 : reset", "c down byte 14000 : close", "c : pieces 70")
-	steps := int(length / (25 * time.Millisecond))
-	next := time.Now()
+	requests := int(length / soakStep)
 	var c *client
 	lost := 0
-	for i := range steps {
-		time.Sleep(time.Until(next)) // the traffic's pace
-		next = next.Add(25 * time.Millisecond)
+	for i := range requests {
+		w.clock.advance(soakStep)
 		if c == nil || i%40 == 0 {
 			conn, err := net.Dial("tcp", front.Addr().String())
 			if err != nil {
@@ -269,7 +279,7 @@
 			lost++
 			c = nil
 		case int(a.id) != i%1000+1:
-			t.Fatalf("step %d: %+v", i, a)
+			t.Fatalf("request %d: %+v", i, a)
 		}
 	}
 	w.eventually("nothing is open", func() bool { return w.figure("svc_open_requests") == 0 })
@@ -279,18 +289,22 @@
 			figures += line + "\n"
 		}
 	}
-	t.Logf("%d requests, %d on broken connections\n%s", steps, lost, figures)
+	t.Logf("%d requests, %d on broken connections\n%s", requests, lost, figures)
 	return figures, strings.Join([]string{cache.log(), origin.log(), front.log()}, "\n--\n")
 }
 
-// Two runs of one script with one seed have the same faults and the same outcomes at the program.
+// soakStep is how far the program's time moves on between two requests.
+const soakStep = 25 * time.Millisecond
+
+// Two runs of one script with one seed have the same faults and the same outcomes at the program, also when the machine
+// holds answers up in one of them.
 func TestSameScriptSameOutcomes(t *testing.T) {
 	t.Parallel()
 	length := soakTime(t)
 	var figures, faults [2]string
 	var both sync.WaitGroup
 	for i := range figures {
-		both.Go(func() { figures[i], faults[i] = soak(t, length) })
+		both.Go(func() { figures[i], faults[i] = soak(t, length, i == 1) })
 	}
 	both.Wait()
 	if figures[0] != figures[1] {
--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -43,12 +43,15 @@
 	proxy                      proxy.Config
 }
 
-func main() {
+func main() { serve(net.SystemClock()) }
+
+// serve runs the program by a clock until it has been stopped. It exits with status 1 when that went wrong.
+func serve(clock net.TimeSource) {
 	logger := log.New(os.Stderr, "cloverdoor: ", 0)
 	cfg, err := load(os.Getenv)
 	if err == nil {
 		logger.SetPrefix("cloverdoor " + cfg.Name + ": ")
-		err = run(cfg, logger)
+		err = run(cfg, clock, logger)
 	}
 	if err != nil {
 		logger.Print(err)
@@ -56,10 +59,10 @@
 	}
 }
 
-func run(cfg *config, logger *log.Logger) error {
+func run(cfg *config, clock net.TimeSource, logger *log.Logger) error {
 	// A garbage collector that knows the limit works harder near it; the platform would kill the process.
 	debug.SetMemoryLimit(int64(cfg.proxy.Memory) * 6 / 10)
-	loop, err := net.NewLoop()
+	loop, err := net.NewLoop(clock)
 	if err != nil {
 		return err
 	}
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -22,7 +22,7 @@
 // The tests start this test binary as the real program.
 func TestMain(m *testing.M) {
 	if os.Getenv("CLOVERDOOR_TEST_PROGRAM") != "" {
-		main()
+		serveByTestClock()
 		return
 	}
 	os.Exit(m.Run())
@@ -172,6 +172,7 @@
 	exit          chan error
 	log           *os.File // of the program
 	socket        *os.File // listening for clients, held by the platform; nil: the program listens by itself
+	clock         *steps   // by which the program goes; nil: the system's
 }
 
 // member is an entry of the coordinator's list.
@@ -233,6 +234,9 @@
 		w.cmd.ExtraFiles = []*os.File{w.socket}
 		w.cmd.Env = append(w.cmd.Env, "BALANCER_LISTEN_FD=3")
 	}
+	if w.clock != nil {
+		w.clock.pass(w.cmd)
+	}
 	if err := w.cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/net/clock.go
@@ -0,0 +1,28 @@
+package net
+
+import "time"
+
+// Clock is time since the Unix epoch, the one origin of all times in the program.
+type Clock = time.Duration
+
+// TimeSource is where a loop takes its time from.
+type TimeSource interface {
+	// Now returns the current time. It never goes back.
+	Now() Clock
+	// Nap is called once a turn, before the loop waits for readiness: all that was due up to the previous turn has been
+	// carried out by then. It returns how long the loop may wait in real time, at most wanted.
+	Nap(wanted time.Duration) time.Duration
+}
+
+// systemClock begins at the Unix clock and does not follow a later change of that: deadlines must neither stand still
+// nor all come at once.
+type systemClock struct{ start time.Time }
+
+// SystemClock returns the time source of a program in service.
+func SystemClock() TimeSource { return systemClock{start: time.Now()} }
+
+// Now returns the Unix time at the start, moved on by what has passed since.
+func (c systemClock) Now() Clock { return Clock(c.start.UnixNano()) + time.Since(c.start) }
+
+// Nap lets the loop wait for as long as it wants.
+func (c systemClock) Nap(wanted time.Duration) time.Duration { return wanted }
--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -29,7 +29,7 @@
 
 // What a peer has sent counts as unread until it is taken.
 func TestUnread(t *testing.T) {
-	l, err := NewLoop()
+	l, err := NewLoop(SystemClock())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,7 +60,7 @@
 // The last use of a connection may end while its message is encoded, and the connection of a server that is gone
 // with it: the rest of the queue is not there any more.
 func TestConnClosedWhileAMessageIsEncoded(t *testing.T) {
-	l, err := NewLoop()
+	l, err := NewLoop(SystemClock())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -11,9 +11,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock is time since the Unix epoch, the one origin of all times in the program.
-type Clock = time.Duration
-
 // pollable is what an epoll event is delivered to.
 type pollable interface{ ready(events uint32) }
 
@@ -23,7 +20,7 @@
 	epoll     int
 	fds       map[int]pollable
 	timers    timers
-	start     time.Time
+	clock     TimeSource
 	now       Clock
 	lastPoll  Clock   // when the last look at all that is ready ended: what is new in this turn came after it
 	polledAll bool    // the last look was at all
@@ -36,14 +33,14 @@
 // readSize is how much one connection may bring in one turn: none holds up the others.
 const readSize = 128 << 10
 
-// NewLoop returns an empty loop.
-func NewLoop() (*Loop, error) {
+// NewLoop returns an empty loop that takes its time from clock.
+func NewLoop(clock TimeSource) (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("epoll_create: %w", err)
 	}
 	l := &Loop{
-		epoll: epoll, fds: map[int]pollable{}, start: time.Now(),
+		epoll: epoll, fds: map[int]pollable{}, clock: clock,
 		read: make([]byte, readSize), events: make([]unix.EpollEvent, 256),
 	}
 	l.tick()
@@ -65,9 +62,8 @@
 // Held is how many bytes all connections hold, received and not used or queued and not written.
 func (l *Loop) Held() int { return l.held }
 
-// tick moves the loop's time on by what has passed since the start. It begins at the Unix clock and does not
-// follow a later change of that: deadlines must neither stand still nor all come at once.
-func (l *Loop) tick() { l.now = Clock(l.start.UnixNano()) + time.Since(l.start) }
+// tick brings the loop's time up to date.
+func (l *Loop) tick() { l.now = l.clock.Now() }
 
 // Wait sleeps until something is ready, the next timer is due or most has passed, and runs the callbacks of all
 // that is ready.
@@ -79,7 +75,8 @@
 	if len(l.timers) > 0 {
 		most = min(most, l.timers[0].at-l.now)
 	}
-	millis := int((max(most, 0) + time.Millisecond - 1) / time.Millisecond)
+	most = l.clock.Nap(max(most, 0))
+	millis := int((most + time.Millisecond - 1) / time.Millisecond)
 	n, err := unix.EpollWait(l.epoll, l.events, millis)
 	if err != nil && !errors.Is(err, unix.EINTR) {
 		return fmt.Errorf("epoll_wait: %w", err)
--- a/internal/net/pool_test.go
+++ b/internal/net/pool_test.go
@@ -73,7 +73,7 @@
 // What waits for a connection that is late to come up gets another, and the late one is not waited for by others. The
 // danger: a handshake's lost packet is sent again after a second only, when the time of many a request is over.
 func TestReassignFromALateConnection(t *testing.T) {
-	l, err := NewLoop()
+	l, err := NewLoop(SystemClock())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop, err := net.NewLoop()
+	loop, err := net.NewLoop(net.SystemClock())
 	if err != nil {
 		t.Fatal(err)
 	}
