Rename the module's parts by their field terms: link, slowdown, limiter, copies

A newcomer had to learn words of this project first: lane, drag, gate, well, told, blame, believe. They are now link, slowdown, limiter, markHealthy, linkSize, attributeFailures, recordCopy and likelyHolds, and in the same way wherever a name needed explaining; comments are in plain English. Local names are whole where they live for long (req for q).

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -92,7 +92,7 @@
 		t.Fatalf("%+v then %+v", first, second)
 	}
 	if first.Source != "p" && first.Source != "q" {
-		t.Fatalf("a miss nobody is believed to hold is filled from %q, not a parent", first.Source)
+		t.Fatalf("a miss nobody is expected to hold is filled from %q, not a parent", first.Source)
 	}
 }
 
@@ -133,11 +133,11 @@
 		g := newRig(t)
 		r := g.r
 		r.parentWait.value, r.siblingWait.value = 0.040, 0.010
-		q := &request{Request: Request{Object: "x"}, class: &r.set.Classes[0], key: 7, work: 0.1,
+		req := &request{Request: Request{Object: "x"}, class: &r.settings.Classes[0], key: 7, work: 0.1,
 			aim: g.n + time.Second}
-		r.believe(r.members["b"], q, true)
-		r.members["b"].rho = ratio{asked: 1, value: c.rho}
-		if got := r.sibling(q, r.members["a"]) != nil; got != c.want {
+		r.recordCopy(r.members["b"], req, true)
+		r.members["b"].misindication = ratio{asked: 1, value: c.rho}
+		if got := r.chooseSibling(req, r.members["a"]) != nil; got != c.want {
 			t.Errorf("rho %v: sibling named %v, want %v", c.rho, got, c.want)
 		}
 	}
@@ -145,21 +145,21 @@
 
 func TestRatioPlainThenSmoothed(t *testing.T) {
 	var r ratio
-	for i := 0; i < rhoEpoch; i++ {
-		r.count(i < 5)
+	for i := 0; i < epochFills; i++ {
+		r.add(i < 5)
 	}
-	plain := 5.0 / rhoEpoch
+	plain := 5.0 / epochFills
 	if math.Abs(r.value-plain) > 1e-9 {
 		t.Fatalf("first epoch %v, want %v", r.value, plain)
 	}
-	for i := 0; i < rhoEpoch-1; i++ {
-		r.count(true)
+	for i := 0; i < epochFills-1; i++ {
+		r.add(true)
 	}
 	if math.Abs(r.value-plain) > 1e-9 {
 		t.Fatalf("moved within an epoch: %v", r.value)
 	}
-	r.count(true)
-	if want := plain + rhoSmooth*(1-plain); math.Abs(r.value-want) > 1e-9 {
+	r.add(true)
+	if want := plain + epochWeight*(1-plain); math.Abs(r.value-want) > 1e-9 {
 		t.Fatalf("second epoch %v, want %v", r.value, want)
 	}
 }
@@ -235,8 +235,8 @@
 				acts = g.do(Outcome{ID: 1, Attempt: try, Result: result, Took: 600 * ms})
 				ends += finals(acts)
 			}
-			if ends != 1 || len(g.r.open) != 0 {
-				t.Errorf("result %v class %d: %d final answers, %d open", result, class, ends, len(g.r.open))
+			if ends != 1 || len(g.r.requests) != 0 {
+				t.Errorf("result %v class %d: %d final answers, %d open", result, class, ends, len(g.r.requests))
 			}
 		}
 	}
@@ -275,8 +275,8 @@
 }
 
 // A cache that fails what others answer is left alone, and comes back by a good answer. A request that fails
-// wherever it goes is given up, and no cache is blamed for it.
-func TestErrorsAreBlamedOnceOthersAnswer(t *testing.T) {
+// wherever it goes is given up, and no cache is suspected for it.
+func TestFailuresCountOnceOthersAnswer(t *testing.T) {
 	g := newRig(t)
 	home := g.serve(1, "x", NoteFilled).Target
 	for id := int64(2); id < 4; id++ {
@@ -298,7 +298,7 @@
 		t.Fatalf("%s failed two requests that others answered, and gets a third", home)
 	}
 	g.do(Outcome{ID: 4, Result: ResultOK, Note: NoteHit, Took: 100 * ms, Finished: true})
-	g.n += suspectFor
+	g.n += firstSuspicion
 	g.serve(5, "x", NoteHit)
 	if !g.r.healthy(g.r.members[home]) {
 		t.Fatal("a good answer must bring it back")
@@ -309,22 +309,22 @@
 	for ; finals(acts) == 0; attempts++ {
 		acts = g.do(Outcome{ID: 6, Attempt: attempts - 1, Result: ResultError, Took: ms})
 	}
-	if attempts-1 != mostFailed {
+	if attempts-1 != maxFailures {
 		t.Errorf("%d attempts", attempts-1)
 	}
 	for id, m := range g.r.members {
 		if !g.r.healthy(m) {
-			t.Errorf("%s is blamed for a request that no cache can use", id)
+			t.Errorf("%s is suspected for a request that no cache can use", id)
 		}
 	}
 }
 
-// A refusing origin shuts the gate: further misses ask the parent only for what it holds.
-func TestOriginGateShuts(t *testing.T) {
+// A refusing origin lowers its limit: further misses ask the parent only for what it holds.
+func TestOriginLimitFalls(t *testing.T) {
 	g := newRig(t)
 	for i := int64(1); i < 8; i++ {
 		if fetchOf(g.request(i, string(rune('a'+i)), 0)).HeldOnly {
-			t.Fatal("the gate is shut before any failure")
+			t.Fatal("the limit is reached before any failure")
 		}
 	}
 	g.do(Outcome{ID: 1, Result: ResultError, Note: NoteOriginFailed, Took: 20 * ms})
@@ -337,7 +337,7 @@
 func TestDeadZoneGoesToParent(t *testing.T) {
 	g := newRig(t)
 	for _, id := range []string{"a", "b", "c"} {
-		g.r.members[id].suspect(g.n)
+		g.r.members[id].markSuspect(g.n)
 	}
 	if f := fetchOf(g.request(1, "x", 0)); f.Target != "p" && f.Target != "q" || f.Source != "o" {
 		t.Fatalf("%+v", f)
@@ -381,36 +381,36 @@
 		{ScopeCell, Member{Zone: 1, Cell: 4}, time.Second, false},
 	} {
 		r := New(world(), 1)
-		q := &request{class: &Class{Effect: Keyed, Scope: c.scope, Window: 5 * time.Second}}
-		q.mayRun = &attempt{target: first, sent: time.Hour}
+		req := &request{class: &Class{Effect: Keyed, Scope: c.scope, Window: 5 * time.Second}}
+		req.mayHaveRun = &attempt{target: first, sent: time.Hour}
 		r.now = time.Hour + c.after
-		if got := r.mayRepeat(q, &member{Member: c.to}); got != c.want {
+		if got := r.mayRepeat(req, &member{Member: c.to}); got != c.want {
 			t.Errorf("%+v: %v", c, got)
 		}
-		if got := r.mayRefuse(q); got != (c.scope == ScopeAll) {
+		if got := r.mayRefuse(req); got != (c.scope == ScopeAll) {
 			t.Errorf("scope %v: may refuse %v", c.scope, got)
 		}
 	}
 }
 
-// An answer that waited at the origin for longer than the aim shuts the gate as well. Incident i058414.
-func TestSlowOriginShutsGate(t *testing.T) {
+// An answer that waited at the origin for longer than the aim lowers the limit as well. Incident i058414.
+func TestSlowOriginLowersLimit(t *testing.T) {
 	g := newRig(t)
 	for i := int64(1); i < 8; i++ {
 		g.request(i, string(rune('a'+i)), 0)
 	}
-	before := g.r.gate.size
+	before := g.r.originLimiter.limit
 	g.n += 700 * ms
 	g.do(Outcome{ID: 1, Result: ResultOK, Note: NoteFilledByOrigin, Took: 700 * ms, SourceWait: 600 * ms,
 		Finished: true})
-	if g.r.gate.size >= before {
-		t.Fatalf("gate %v after a slow answer, %v before", g.r.gate.size, before)
+	if g.r.originLimiter.limit >= before {
+		t.Fatalf("limit %v after a slow answer, %v before", g.r.originLimiter.limit, before)
 	}
-	after := g.r.gate.size
+	after := g.r.originLimiter.limit
 	g.do(Outcome{ID: 2, Result: ResultOK, Note: NoteFilledByOrigin, Took: 700 * ms, SourceWait: 50 * ms,
 		Finished: true})
-	if g.r.gate.size <= after {
-		t.Fatal("a quick answer of the origin must open the gate")
+	if g.r.originLimiter.limit <= after {
+		t.Fatal("a quick answer of the origin must raise the limit")
 	}
 }
 
@@ -419,57 +419,57 @@
 	g := newRig(t)
 	m := g.r.members["p"]
 	for i := 0; i < 3; i++ {
-		m.suspect(g.n)
-		g.n = m.until
+		m.markSuspect(g.n)
+		g.n = m.suspectUntil
 	}
-	m.well(g.n)
-	m.lane.under = []*attempt{{req: &request{}}}
+	m.markHealthy(g.n)
+	m.link.inFlight = []*attempt{{request: &request{}}}
 	if g.r.healthy(m) {
 		t.Fatal("one good answer after three doubts must not bring full trust")
 	}
-	m.well(g.n)
-	m.well(g.n)
+	m.markHealthy(g.n)
+	m.markHealthy(g.n)
 	if !g.r.healthy(m) {
 		t.Fatal("three good answers must")
 	}
 }
 
 // A restarted cache is empty: no belief in it is left, and its ratio starts anew.
-func TestRestartClearsBeliefs(t *testing.T) {
+func TestRestartClearsCopyRecords(t *testing.T) {
 	g := newRig(t)
 	home := g.serve(1, "x", NoteFilled).Target
 	m := g.r.members[home]
-	m.rho.count(true)
-	if m.beliefs.Len() != 1 {
-		t.Fatalf("%d beliefs", m.beliefs.Len())
+	m.misindication.add(true)
+	if m.copies.Len() != 1 {
+		t.Fatalf("%d copy records", m.copies.Len())
 	}
 	g.do(MemberList{Members: []Member{{ID: home, State: Ready, Zone: 1, Weight: 5, Started: g.n}}})
-	if m.beliefs.Len() != 0 || m.rho != (ratio{}) {
-		t.Fatalf("%d beliefs, ratio %+v after a restart", m.beliefs.Len(), m.rho)
+	if m.copies.Len() != 0 || m.misindication != (ratio{}) {
+		t.Fatalf("%d copy records, ratio %+v after a restart", m.copies.Len(), m.misindication)
 	}
 }
 
-// A purge of the object, or of its group, ends the beliefs in its copies; others stay.
-func TestPurgeClearsBeliefs(t *testing.T) {
+// A purge of the object, or of its group, ends the records of its copies; others stay.
+func TestPurgeClearsCopyRecords(t *testing.T) {
 	for _, purge := range []Purge{{Object: "x", Group: 0}, {Group: 0}} {
 		g := newRig(t)
 		m := g.r.members[g.serve(1, "x", NoteFilled).Target]
-		q := &request{Request: Request{Object: "x"}, class: &g.r.set.Classes[0], key: m.beliefs.Keys()[0]}
+		req := &request{Request: Request{Object: "x"}, class: &g.r.settings.Classes[0], key: m.copies.Keys()[0]}
 		g.n += 10 * time.Second
 		g.do(Purge{Object: "y", Group: 0})
 		g.do(Purge{Group: 9})
-		if !g.r.believes(m, q) {
+		if !g.r.likelyHolds(m, req) {
 			t.Fatal("another purge took the belief")
 		}
 		g.do(purge)
 		g.n += 10 * time.Second
 		g.do(Purge{Group: 7}) // news of another forgets none that a belief may predate
-		if g.r.believes(m, q) {
+		if g.r.likelyHolds(m, req) {
 			t.Fatalf("%+v left the belief", purge)
 		}
-		g.r.believe(m, q, true)
-		if !g.r.believes(m, q) {
-			t.Fatal("a copy filled after the purge is not believed in")
+		g.r.recordCopy(m, req, true)
+		if !g.r.likelyHolds(m, req) {
+			t.Fatal("a copy filled after the purge is not expected to be there")
 		}
 	}
 }
@@ -484,11 +484,11 @@
 	if f == nil || f.Source == "o" {
 		t.Fatalf("nothing is under way and the first miss is not filled from a parent: %+v", f)
 	}
-	lane := &g.r.members["a"].lane
+	link := &g.r.members["a"].link
 	for i := 0; i < 4; i++ {
-		lane.enter(&attempt{req: &request{work: 0.1}, target: g.r.members["a"]}, g.n)
+		link.enter(&attempt{request: &request{work: 0.1}, target: g.r.members["a"]}, g.n)
 	}
-	if now, later := lane.takes(g.n, 0.1, 1), lane.takes(g.n+20*time.Second, 0.1, 1); later < 3*now {
+	if now, later := link.transferTime(g.n, 0.1, 1), link.transferTime(g.n+20*time.Second, 0.1, 1); later < 3*now {
 		t.Fatalf("lasting use by one router tells of the others: %v then %v", now, later)
 	}
 }
@@ -497,7 +497,7 @@
 func TestMeanStartsPlain(t *testing.T) {
 	var m mean
 	for _, v := range []float64{1, 3, 5} {
-		m.add(v, meanCount)
+		m.add(v, requestSamples)
 	}
 	if m.value != 3 {
 		t.Fatalf("mean of 1, 3 and 5 is %v", m.value)
@@ -508,16 +508,16 @@
 func TestHerdingGuard(t *testing.T) {
 	g := newRig(t)
 	r := g.r
-	q := &request{Request: Request{Object: "x"}, class: &r.set.Classes[0], key: 7, work: 0.1, aim: g.n + 500*ms}
+	req := &request{Request: Request{Object: "x"}, class: &r.settings.Classes[0], key: 7, work: 0.1, aim: g.n + 500*ms}
 	holder := r.members["b"]
-	r.believe(holder, q, true)
-	if r.sibling(q, r.members["a"]) != holder {
+	r.recordCopy(holder, req, true)
+	if r.chooseSibling(req, r.members["a"]) != holder {
 		t.Fatal("an idle holder is named")
 	}
 	for i := 0; i < 30; i++ {
-		holder.lane.under = append(holder.lane.under, &attempt{req: q, target: holder})
+		holder.link.inFlight = append(holder.link.inFlight, &attempt{request: req, target: holder})
 	}
-	if s := r.sibling(q, r.members["a"]); s != nil {
+	if s := r.chooseSibling(req, r.members["a"]); s != nil {
 		t.Fatalf("%s is full and is named", s.ID)
 	}
 }
@@ -528,7 +528,7 @@
 	home := g.serve(1, "x", NoteFilled).Target
 	m := g.r.members[home]
 	for i := 0; i < 40; i++ {
-		m.lane.under = append(m.lane.under, &attempt{req: &request{work: 0.1}, target: m})
+		m.link.inFlight = append(m.link.inFlight, &attempt{request: &request{work: 0.1}, target: m})
 	}
 	if f := fetchOf(g.request(2, "x", 0)); f == nil || f.Target == home {
 		t.Fatalf("%s is full: %+v", home, f)
@@ -537,31 +537,31 @@
 
 func TestBetaFromWaits(t *testing.T) {
 	g := newRig(t)
-	if b := g.r.beta(); b != startBeta {
+	if b := g.r.missPenalty(); b != initialMissPenalty {
 		t.Fatalf("beta starts at %v", b)
 	}
 	g.r.parentWait.value, g.r.siblingWait.value = 0.06, 0.02
-	if b := g.r.beta(); math.Abs(b-3) > 1e-9 {
+	if b := g.r.missPenalty(); math.Abs(b-3) > 1e-9 {
 		t.Fatalf("beta %v, want 3", b)
 	}
 }
 
-func TestBeliefsAreBounded(t *testing.T) {
+func TestCopyRecordsAreBounded(t *testing.T) {
 	g := newRig(t)
 	m := g.r.members["a"]
-	for i := uint64(0); i < beliefCount+100; i++ {
-		g.r.believe(m, &request{key: i, class: &g.r.set.Classes[0]}, true)
+	for i := uint64(0); i < copyTableSize+100; i++ {
+		g.r.recordCopy(m, &request{key: i, class: &g.r.settings.Classes[0]}, true)
 	}
-	if m.beliefs.Len() != beliefCount {
-		t.Fatalf("%d beliefs, want %d", m.beliefs.Len(), beliefCount)
+	if m.copies.Len() != copyTableSize {
+		t.Fatalf("%d copy records, want %d", m.copies.Len(), copyTableSize)
 	}
-	q := &request{key: beliefCount + 99, class: &g.r.set.Classes[1]}
+	req := &request{key: copyTableSize + 99, class: &g.r.settings.Classes[1]}
 	g.r.now = g.n
-	g.r.believe(m, q, true)
-	if !g.r.believes(m, q) {
+	g.r.recordCopy(m, req, true)
+	if !g.r.likelyHolds(m, req) {
 		t.Fatal("a new belief must count")
 	}
-	if g.r.now += q.class.Fresh; g.r.believes(m, q) {
+	if g.r.now += req.class.Fresh; g.r.likelyHolds(m, req) {
 		t.Fatal("a copy past its fresh time is believed in")
 	}
 }
@@ -579,12 +579,12 @@
 	g := newRig(t)
 	m := g.r.members["a"]
 	for i := 0; i < 20; i++ {
-		m.lane.learn(0.5)
+		m.link.learnCapacity(0.5)
 	}
-	learned := m.lane.cap
+	learned := m.link.capacity
 	g.do(MemberList{Members: []Member{{ID: "a", State: Ready, Zone: 1, Weight: 5, Started: g.n}}})
-	if m.lane.cap != learned || learned >= m.lane.start {
-		t.Fatalf("share %v after the restart, %v before", m.lane.cap, learned)
+	if m.link.capacity != learned || learned >= m.link.nominal {
+		t.Fatalf("share %v after the restart, %v before", m.link.capacity, learned)
 	}
 }
 
@@ -606,7 +606,7 @@
 		}
 	}
 	// 0.1 s each; three caches of unknownCap transfers draw 6, a tenth of them cold, twice that for 2 s.
-	if most := passedUp * 3 * unknownCap * 0.1 * 2 * 2; float64(sent)*0.1 > most {
+	if most := fillShare * 3 * defaultCapacity * 0.1 * 2 * 2; float64(sent)*0.1 > most {
 		t.Fatalf("%d sent to a cold parent by 100 routers", sent)
 	}
 }
@@ -635,7 +635,7 @@
 		if f := fetchOf(acts); f == nil || f.Target != home {
 			t.Fatalf("want %s asked again, got %+v", home, acts)
 		}
-		if n := len(g.r.members[home].lane.under); n != 1 {
+		if n := len(g.r.members[home].link.inFlight); n != 1 {
 			t.Fatalf("%d on the link: the lost one must not make it look full", n)
 		}
 	}
@@ -686,9 +686,9 @@
 		g.do(list)
 		near := 0
 		for i := range 100 {
-			q := &request{Request: Request{Object: "x"}, class: &g.r.set.Classes[0], key: mix(uint64(i)), work: 0.1,
+			req := &request{Request: Request{Object: "x"}, class: &g.r.settings.Classes[0], key: mixHash(uint64(i)), work: 0.1,
 				aim: g.n + time.Second}
-			if g.r.parent(q).ID == "p" {
+			if g.r.chooseParent(req).ID == "p" {
 				near++
 			}
 		}
@@ -702,9 +702,9 @@
 	}
 }
 
-// With many routers one attempt of each is too much for a failing origin: the gate shuts under one, down to this
+// With many routers one attempt of each is too much for a failing origin: the limit falls under one, down to this
 // router's part, and opens again. With few routers one is always let through. Incident ic689c2.
-func TestGateShutsUnderOneWithManyRouters(t *testing.T) {
+func TestLimitFallsUnderOneWithManyRouters(t *testing.T) {
 	for _, c := range []struct {
 		instances int
 		below     bool
@@ -718,16 +718,16 @@
 			g.n += 200 * ms
 			g.do(Outcome{ID: id, Result: ResultError, Note: NoteOriginFailed, Took: 20 * ms})
 		}
-		shut := g.r.gate.size
+		shut := g.r.originLimiter.limit
 		if (shut < 1) != c.below || shut <= 0 {
-			t.Fatalf("%d routers: the gate stands at %v", c.instances, shut)
+			t.Fatalf("%d routers: the limit is %v", c.instances, shut)
 		}
-		a := &attempt{req: &request{class: &set.Classes[0]}, source: g.r.members["p"], target: g.r.members["a"]}
+		a := &attempt{request: &request{class: &set.Classes[0]}, source: g.r.members["p"], target: g.r.members["a"]}
 		for range 20 {
 			g.r.observeOrigin(a, Outcome{Result: ResultOK, Note: NoteFilledByOrigin})
 		}
-		if g.r.gate.size < shut+1 {
-			t.Fatalf("%d routers: answers opened the gate from %v to %v only", c.instances, shut, g.r.gate.size)
+		if g.r.originLimiter.limit < shut+1 {
+			t.Fatalf("%d routers: answers raised the limit from %v to %v only", c.instances, shut, g.r.originLimiter.limit)
 		}
 	}
 }
@@ -777,7 +777,7 @@
 	}
 	for object, want := range map[string]float64{"small": 0.05, "large": 0.75, "unknown": 0.4} {
 		g.do(Request{ID: 99, Object: object, Left: 6 * time.Second})
-		if got := g.r.open[99].work; math.Abs(got-want) > 0.01 {
+		if got := g.r.requests[99].work; math.Abs(got-want) > 0.01 {
 			t.Errorf("%s is expected to take %v s, want %v", object, got, want)
 		}
 		g.do(ClientGone{ID: 99})
@@ -789,7 +789,7 @@
 // link must not pass for a full link: small requests would be refused more and more.
 func TestUntoldSizesAreLearned(t *testing.T) {
 	g := newRig(t)
-	guess := newRig(t).r.work[""].value
+	guess := newRig(t).r.classWork[""].value
 	ask := func(id int64, took time.Duration) *member {
 		f := fetchOf(g.do(Request{ID: id, Object: "x", Class: 0, Left: 3 * time.Second}))
 		if f == nil {
@@ -803,15 +803,15 @@
 	for id := range int64(50) {
 		m = ask(id+1, 300*ms)
 	}
-	if got := g.r.work[""].value; guess != 0 || math.Abs(got-0.3) > 0.01 {
+	if got := g.r.classWork[""].value; guess != 0 || math.Abs(got-0.3) > 0.01 {
 		t.Errorf("%v s learned from answers of 0.3 s, %v before", got, guess)
 	}
-	if m.lane.cap != m.lane.start {
-		t.Errorf("the link is taken for %v of %v transfers", m.lane.cap, m.lane.start)
+	if m.link.capacity != m.link.nominal {
+		t.Errorf("the link is taken for %v of %v transfers", m.link.capacity, m.link.nominal)
 	}
 	ask(60, 2500*ms) // no size explains this one
-	if m.lane.slowness(g.n) < dragLeast {
-		t.Errorf("one far slower than usual is held to be slower by %v", m.lane.slowness(g.n))
+	if m.link.currentSlowdown(g.n) < minSlowdown {
+		t.Errorf("one far slower than usual is held to be slower by %v", m.link.currentSlowdown(g.n))
 	}
 }
 
@@ -831,7 +831,7 @@
 		}
 		g.n += 100 * ms
 		g.do(Outcome{ID: id, Result: ResultOK, Note: NoteFilled, Took: took, Sending: 200 * ms, Finished: true})
-		g.do(Purge{Object: object}) // so that no sibling is believed to hold it
+		g.do(Purge{Object: object}) // so that no sibling is expected to hold it
 		return f.Source
 	}
 	for object = "x"; fill() != "p"; { // one that hashing fills from p
@@ -843,10 +843,10 @@
 	if got := fill(); got != "q" {
 		t.Errorf("filled from %s, which takes four times as long", got)
 	}
-	if g.r.link.cap != g.r.link.start {
-		t.Errorf("the link is blamed: %v of %v", g.r.link.cap, g.r.link.start)
+	if g.r.zoneLink.capacity != g.r.zoneLink.nominal {
+		t.Errorf("the link is held to be congested: %v of %v", g.r.zoneLink.capacity, g.r.zoneLink.nominal)
 	}
-	g.n += 6 * dragFor
+	g.n += 6 * slowdownMemory
 	if got := fill(); got != "p" {
 		t.Errorf("%s: the slow one is not tried again", got)
 	}
@@ -862,7 +862,7 @@
 	g := &rig{t: t, r: New(set, 1), n: time.Hour}
 	g.do(everybody())
 	g.serve(1, "x", NoteHit)
-	learned := g.r.work["old"].value
+	learned := g.r.classWork["old"].value
 	write := fetchOf(g.request(2, "y", 2))
 
 	later := set
@@ -872,7 +872,7 @@
 	if f := fetchOf(g.request(3, "z", 0)); f == nil || f.Target != "o" || f.Target != write.Target {
 		t.Errorf("the write, by its new number: %+v", f)
 	}
-	if g.r.work["old"].value != learned || learned == 0 || g.r.open[2].class.Name != "write" || g.r.open[2].Class != 2 {
+	if g.r.classWork["old"].value != learned || learned == 0 || g.r.requests[2].class.Name != "write" || g.r.requests[2].Class != 2 {
 		t.Error("what was learned is gone, or a request has changed its class")
 	}
 	f := fetchOf(g.request(4, "x", 1))
@@ -898,10 +898,10 @@
 		for f != nil {
 			attempts++
 			if attempts%3 != 0 {
-				g.do(Outcome{ID: id + 1, Attempt: len(g.r.open[id+1].attempts) - 1, Result: ResultOK, Note: NoteHit, Finished: true})
+				g.do(Outcome{ID: id + 1, Attempt: len(g.r.requests[id+1].attempts) - 1, Result: ResultOK, Note: NoteHit, Finished: true})
 				break
 			}
-			acts := g.do(Outcome{ID: id + 1, Attempt: len(g.r.open[id+1].attempts) - 1, Result: ResultError})
+			acts := g.do(Outcome{ID: id + 1, Attempt: len(g.r.requests[id+1].attempts) - 1, Result: ResultError})
 			if f = fetchOf(acts); f == nil {
 				t.Fatalf("request %d was given up after %d attempts in all: %+v", id+1, attempts, acts)
 			}
