--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,7 +87,7 @@
 func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 func at[T any](list []T, i int) (value T) {
-	if i < len(list) {
+	if i >= 0 && i < len(list) {
 		value = list[i]
 	}
 	return value
@@ -112,8 +112,8 @@
 	d := c.Domain
 	s := policy.Settings{
 		Zone: c.Zone, ParentKind: -1, OriginKind: d.RootKind, Instances: c.GroupSize, Index: c.Index,
-		ZoneRouters: d.CountByZone, ZoneHubs: d.AttachedTo, WeightsTold: c.WeightSource == "nominal" || c.WeightSource == "rough",
-		FlowKBps: d.FlowKBps, LinkKBps: d.PipeKBps, Direct: d.Direct, CanJoin: d.CanJoin,
+		ZoneHubs: d.AttachedTo, WeightsTold: c.WeightSource == "nominal" || c.WeightSource == "rough",
+		FlowKBps: d.FlowKBps, Direct: d.Direct, CanJoin: d.CanJoin,
 		Siblings:  siblings[d.PeersFill],
 		MayCancel: c.Limits.MayCancel, SecondCopies: c.Limits.SecondCopies,
 		MaxComeBack: us(c.Limits.MaxRetryAfter),
@@ -123,6 +123,12 @@
 		ParentFallMultiple: d.ParentLimitFactor,
 		PurgeGrace:         us(d.PurgeSlack), ClearedWithin: us(d.ClearedWithin),
 	}
+	if d.FlowKBps > 0 {
+		s.ZoneLink = at(d.PipeKBps, c.Zone) / d.FlowKBps
+	}
+	if c.Zone >= 0 && c.Zone < len(d.CountByZone) {
+		s.RoutersInZone = max(1, d.CountByZone[c.Zone])
+	}
 	if c.Limits.MaxAttempts != nil {
 		s.MaxAttempts = *c.Limits.MaxAttempts
 	}
--- /dev/null
+++ b/policy/coldbudget.go
@@ -0,0 +1,61 @@
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	coldMargin = 0.9  // share of a cold member's budget that is used: chance may bring more of it at once
+	turnMargin = 0.33 // share of it that is given out in turns: turns of two windows may meet in one
+)
+
+// coldRules returns the share of capacity at start, the time to be warm and the multiple that is tolerated.
+func (r *Router) coldRules(m *member) (share float64, warmWithin time.Duration, multiple float64) {
+	if m.Kind == r.settings.ParentKind {
+		return r.settings.ParentColdShare, r.settings.ParentWarmWithin, r.settings.ParentFallMultiple
+	}
+	return r.settings.ColdShare, r.settings.WarmWithin, r.settings.FallMultiple
+}
+
+func (r *Router) warmShare(m *member) float64 {
+	share, within, _ := r.coldRules(m)
+	age := r.now - m.Started
+	if m.Started == 0 || age >= within || within == 0 || m.Kind == r.settings.OriginKind {
+		return 1
+	}
+	return share + (1-share)*max(0, age.Seconds())/within.Seconds()
+}
+
+// withinColdBudget keeps to this router's part, and waits for a window after the router's own start.
+func (r *Router) withinColdBudget(m *member, req *request) bool {
+	warm, window, cost := r.warmShare(m), max(r.settings.FallWindow, time.Second), r.coldCost(req)
+	expired := func(a *attempt) bool { return r.now-a.begun > window }
+	if m.coldAttempts = slices.DeleteFunc(m.coldAttempts, expired); warm >= 1 {
+		return true
+	}
+	_, _, multiple := r.coldRules(m)
+	sum := cost
+	for _, a := range m.coldAttempts {
+		sum += r.coldCost(a.request)
+	}
+	part := coldMargin * multiple * min(m.link.capacity, m.link.nominal) / m.link.sharers
+	return (m.Started >= r.startedAt || r.now-r.startedAt >= window) &&
+		(sum <= part*warm*window.Seconds() || sum == cost && r.hasColdTurn(m, window, cost/(part*turnMargin)))
+}
+
+// hasColdTurn gives out turns where one request takes up this router's part of several windows.
+func (r *Router) hasColdTurn(m *member, window time.Duration, seconds float64) bool {
+	share, within, _ := r.coldRules(m)
+	turns := func(at time.Duration) float64 {
+		age := max(at-m.Started, 0).Seconds()
+		warmed := age * (share + (1-share)*age/within.Seconds()/2)
+		return math.Floor(math.Mod(float64(r.settings.Index)*math.Phi, 1) + warmed/seconds)
+	}
+	return turns(r.now) > turns(r.now-window)
+}
+
+func (r *Router) coldCost(req *request) float64 {
+	return max(req.work, r.classWork[req.class.Name].value)
+}
--- /dev/null
+++ b/policy/membership.go
@@ -0,0 +1,98 @@
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	defaultCapacity = 4.0  // transfers that a cache's link carries at full pace, until it is measured
+	fillShare       = 0.33 // share of what caches carry that the tier above fills: two of three are hits
+)
+
+// member is one cache, parent or origin with everything that was observed of it.
+type member struct {
+	Member
+	hash                    uint64
+	link                    link
+	firstByteWait           mean // as a source, seconds
+	misindication           ratio
+	copies                  *simplelru.LRU[uint64, copyRecord]
+	coldAttempts            []*attempt    // sent lately, kept while the member is cold
+	suspicions              int           // in a row
+	failures                int           // requests in a row that it failed and another member answered
+	lastAnswerSent          time.Duration // when the latest of its answered attempts was sent
+	lastHeard, suspectUntil time.Duration
+}
+
+func (list MemberList) apply(r *Router) {
+	for _, m := range r.members {
+		if list.Whole { // members not named again are gone
+			m.State = Gone
+		}
+	}
+	for _, entry := range list.Members {
+		m := r.members[entry.ID]
+		if m == nil {
+			m = &member{hash: xxhash.Sum64String(entry.ID), link: newLink()}
+			r.members[entry.ID] = m
+		}
+		if m.copies == nil || m.Started != entry.Started || entry.State == Gone { // it is empty
+			m.copies, _ = simplelru.NewLRU[uint64, copyRecord](copyTableSize, nil)
+			m.misindication, m.coldAttempts, m.link.slowdown = ratio{}, nil, 0
+			m.suspicions, m.suspectUntil = 0, 0
+		}
+		m.Member = entry
+	}
+	r.sortMembers()
+}
+
+// sortMembers lists who is not gone, and sizes links: as told, else each tier for its share of the one below.
+func (r *Router) sortMembers() {
+	r.caches, r.parents, r.origin = nil, nil, nil
+	allCaches, zoneFills := 0.0, 0.0
+	instances := float64(max(1, r.settings.Instances))
+	zoneRouters := float64(cmp.Or(r.settings.RoutersInZone, int(instances)))
+	for _, id := range slices.Sorted(maps.Keys(r.members)) {
+		m := r.members[id]
+		switch size := r.linkSize(m, defaultCapacity); {
+		case m.State == Gone:
+		case m.Kind == r.settings.OriginKind && (r.origin == nil || m.State > r.origin.State):
+			r.origin = m
+		case m.Kind == r.settings.ParentKind:
+			r.parents = append(r.parents, m)
+		case r.isCache(m):
+			allCaches += size
+			if m.Zone == r.settings.Zone {
+				m.link.resize(size, zoneRouters)
+				r.caches = append(r.caches, m)
+				zoneFills += size * fillShare
+			}
+		}
+	}
+	for _, m := range r.parents {
+		even := max(fillShare*allCaches/float64(len(r.parents)), defaultCapacity)
+		m.link.resize(r.linkSize(m, even), instances)
+	}
+	if r.origin != nil {
+		r.origin.link.resize(max(fillShare*fillShare*allCaches, defaultCapacity), instances)
+		r.originLimiter.minimum = min(1, r.origin.link.nominal/instances)
+	}
+	r.zoneLink.resize(max(cmp.Or(r.settings.ZoneLink, zoneFills), 1), zoneRouters)
+}
+
+func (r *Router) linkSize(m *member, otherwise float64) float64 {
+	if r.settings.WeightsTold && m.Weight > 0 {
+		return m.Weight
+	}
+	return otherwise
+}
+
+func (r *Router) isCache(m *member) bool {
+	return m.Kind != r.settings.ParentKind && m.Kind != r.settings.OriginKind
+}
--- /dev/null
+++ b/policy/placement.go
@@ -0,0 +1,83 @@
+package policy
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	aimShare  = 0.7  // share of the time to the aim that a transfer may take before its member is passed over
+	hopWeight = 0.25 // weight of a parent for each hub on the way: bytes cost more and take longer
+)
+
+func (r *Router) decide(req *request) {
+	target := r.firstWithRoom(req, r.ranked(r.caches, req))
+	switch {
+	case req.class.PassOn && !r.usable(r.origin, req):
+		r.finishUnserved(req)
+	case req.class.PassOn && r.settings.Direct:
+		r.startAttempt(req, r.origin, r.origin)
+	case req.class.PassOn && target != nil:
+		r.startAttempt(req, target, r.origin)
+	case target != nil && (r.healthy(target) || !r.settings.Direct):
+		r.startAttempt(req, target, r.chooseSource(req, target))
+	case r.settings.Direct && r.chooseParent(req) != nil && r.usable(r.origin, req): // no cache is up
+		r.startAttempt(req, r.chooseParent(req), r.origin)
+	default:
+		r.finishUnserved(req)
+	}
+}
+
+func (r *Router) ranked(list []*member, req *request) []*member {
+	return slices.SortedStableFunc(slices.Values(list), func(a, b *member) int {
+		return cmp.Compare(r.rendezvousScore(b, req), r.rendezvousScore(a, req))
+	})
+}
+
+// rendezvousScore weighs a parent down for each hub on the way, where the ring of hubs is known.
+func (r *Router) rendezvousScore(m *member, req *request) float64 {
+	weight, hubs, zone := r.linkSize(m, 1), r.settings.ZoneHubs, r.settings.Zone
+	if m.Kind == r.settings.ParentKind && max(zone, m.Zone) < len(hubs) && min(zone, m.Zone) >= 0 {
+		distance, ring := math.Abs(float64(hubs[zone]-hubs[m.Zone])), float64(slices.Max(hubs)+1)
+		weight *= math.Pow(hopWeight, max(0, min(distance, ring-distance)))
+	}
+	return -weight / math.Log((float64(mixHash(m.hash^req.key)>>11)+0.5)/(1<<53))
+}
+
+// mixHash is the finaliser of splitmix64.
+func mixHash(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// firstWithRoom returns the first healthy candidate with room, else the one with most room, else a suspect.
+func (r *Router) firstWithRoom(req *request, candidates []*member) *member {
+	var best, fallback *member
+	least := math.Inf(1)
+	for _, m := range candidates {
+		if !r.usable(m, req) || !r.mayRepeat(req, m) {
+			continue
+		}
+		fallback = cmp.Or(fallback, m)
+		if !r.healthy(m) || req.avoid[m] {
+			continue
+		}
+		if excess := r.excessTime(m, req); excess < least {
+			best, least = m, excess
+		}
+		if least <= 0 {
+			return best
+		}
+	}
+	return cmp.Or(best, fallback)
+}
+
+func (r *Router) excessTime(m *member, req *request) float64 {
+	seconds := m.link.transferTime(r.now, req.work, r.warmShare(m))
+	if !r.isCache(m) {
+		seconds += m.firstByteWait.value
+	}
+	return seconds - max(aimShare*(req.aim-r.now).Seconds(), req.work)
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -12,8 +12,8 @@
 // world is a small deployment: three caches, two parents and an origin, one class of each effect.
 func world() Settings {
 	return Settings{
-		Zone: 1, ParentKind: 1, OriginKind: 2, Instances: 1, ZoneRouters: []int{0, 1}, WeightsTold: true,
-		FlowKBps: 1000, LinkKBps: []float64{0, 100000}, Direct: true, CanJoin: true, Siblings: SiblingsZone,
+		Zone: 1, ParentKind: 1, OriginKind: 2, Instances: 1, RoutersInZone: 1, WeightsTold: true,
+		FlowKBps: 1000, ZoneLink: 100, Direct: true, CanJoin: true, Siblings: SiblingsZone,
 		Classes: []Class{
 			{Effect: Safe, Aim: 500 * ms, AimStretch: 2, Worth: 1},
 			{Effect: Safe, Aim: 500 * ms, AimStretch: 2, Worth: 1,
@@ -477,7 +477,7 @@
 // With many routers a share of a link is under one transfer; an idle link must not look full for it. i0f9a26.
 func TestManyRoutersShareALink(t *testing.T) {
 	set := world()
-	set.Instances, set.ZoneRouters = 200, []int{0, 5}
+	set.Instances, set.RoutersInZone = 200, 5
 	g := &rig{t: t, r: New(set, 1), n: time.Hour}
 	g.do(everybody())
 	f := fetchOf(g.do(Request{ID: 1, Object: "x", SizeKB: 300, Left: 3 * time.Second}))
@@ -592,7 +592,7 @@
 // together stay inside what it can bear. Incident iddf016.
 func TestColdParentBudgetOfAllRouters(t *testing.T) {
 	set := world()
-	set.Instances, set.ZoneRouters, set.WeightsTold = 100, []int{0, 5}, false
+	set.Instances, set.RoutersInZone, set.WeightsTold = 100, 5, false
 	sent := 0
 	for i := range set.Instances {
 		g := &rig{t: t, r: New(set, uint64(i)), n: time.Hour}
@@ -963,7 +963,7 @@
 	for _, routers := range []int{3, 20, 300} {
 		for _, cold := range []string{"a", "p"} {
 			f := &fleet{set: world(), list: everybody(), routers: make([]*Router, routers), now: time.Hour}
-			f.set.Instances, f.set.ZoneRouters = routers, []int{0, routers}
+			f.set.Instances, f.set.RoutersInZone = routers, routers
 			share, within, weight := f.set.ColdShare, f.set.WarmWithin, 5.0
 			if cold == "p" {
 				share, within, weight = f.set.ParentColdShare, f.set.ParentWarmWithin, 20
--- a/policy/types.go
+++ b/policy/types.go
@@ -1,6 +1,8 @@
-// Package policy decides, for one proxy in front of edge caches, which cache serves a request, where a
-// miss is filled from and how the copy is kept. This file holds its interface only: settings, events and
-// actions. The decisions are in policy.go.
+// Package policy decides, for one proxy in front of edge caches, which cache serves a request, where a miss is
+// filled from and how the copy is kept. This file holds its interface only: settings, events and actions. The
+// decisions are in the other files, by concern: router (a request and its attempts), placement (the cache), source
+// (the source of a fill), retry, health, coldbudget, membership, and estimators (what answers teach of links, sizes and
+// ratios).
 package policy
 
 import "time"
@@ -53,20 +55,20 @@
 // Settings is what a router is told at its start, and as an event when operators change it. Zero values mean 'not
 // told' and get safe meanings. What is under way keeps its class.
 type Settings struct {
-	Zone        int
-	Classes     []Class
-	ParentKind  int // -1: no parents
-	OriginKind  int
-	Instances   int   // routers of this tier in all
-	Index       int   // this router's number among them, from 0
-	ZoneRouters []int // routers by zone
-	ZoneHubs    []int // the hub that each zone is tied to, by its place in the ring of hubs; empty: not told
-	WeightsTold bool  // weights count one-client transfers
-	FlowKBps    float64
-	LinkKBps    []float64 // each zone's link in; 0 where not told
-	Direct      bool      // parents and the origin take requests too
-	CanJoin     bool
-	Siblings    Siblings
+	Zone          int
+	Classes       []Class
+	ParentKind    int // -1: no parents
+	OriginKind    int
+	Instances     int   // routers of this tier in all
+	Index         int   // this router's number among them, from 0
+	RoutersInZone int   // of them, in this zone; 0: not told
+	ZoneHubs      []int // the hub that each zone is tied to, by its place in the ring of hubs; empty: not told
+	WeightsTold   bool  // weights count one-client transfers
+	FlowKBps      float64
+	ZoneLink      float64 // one-client transfers that this zone's link in carries; 0: not told
+	Direct        bool    // parents and the origin take requests too
+	CanJoin       bool
+	Siblings      Siblings
 
 	MaxAttempts  int
 	MayCancel    bool
@@ -108,8 +110,8 @@
 }
 
 // Event is one thing the router is told: Settings, MemberList, Request, Outcome, StreamStarted, Purge,
-// ClientGone or TimerFired.
-type Event interface{ event() }
+// ClientGone or TimerFired. Each is applied in the file of the decisions that it leads to.
+type Event interface{ apply(r *Router) }
 
 // MemberList brings the whole list, or changes to it.
 type MemberList struct {
@@ -193,15 +195,6 @@
 // TimerFired is a timer that has come due.
 type TimerFired struct{ Token uint64 }
 
-func (Settings) event()      {}
-func (MemberList) event()    {}
-func (Request) event()       {}
-func (Outcome) event()       {}
-func (StreamStarted) event() {}
-func (Purge) event()         {}
-func (ClientGone) event()    {}
-func (TimerFired) event()    {}
-
 // Action is one thing the router wants done: Fetch, Refuse, Fail, Cancel or StartTimer.
 type Action interface{ action() }
 
