Let link capacity follow answers of unknown size only where no size is told

Cause: observePace took an answer slower than expected as a smaller link, also where the size of the object was unknown and the size of the link was told. What is not known then is the load that other routers put on the link, and the error of that estimate ended up in the capacity, within a factor of 4 of what the list says.

Change: link.told says that a capacity rests on told sizes; such a link follows only answers whose sending time is known.

--- a/policy/estimators.go
+++ b/policy/estimators.go
@@ -56,6 +56,7 @@
 // link is a network link as this router sees it. Each router that shares it is taken to load it alike.
 type link struct {
 	nominal, capacity float64 // one-client transfers at full pace: as configured, and as learned
+	told              bool    // the nominal capacity rests on sizes that were told
 	sharers           float64 // routers that share it
 	inFlight          []*attempt
 	meanLoad          float64 // of this router
@@ -66,8 +67,8 @@
 
 func newLink() link { return link{nominal: 1, capacity: 1} }
 
-func (l *link) resize(nominal, sharers float64) {
-	l.nominal, l.capacity, l.sharers = nominal, l.capacity*nominal/l.nominal, sharers
+func (l *link) resize(nominal, sharers float64, told bool) {
+	l.nominal, l.capacity, l.sharers, l.told = nominal, l.capacity*nominal/l.nominal, sharers, told
 }
 
 func (l *link) learnCapacity(better float64) {
@@ -111,7 +112,6 @@
 	return l.meanLoad + (current-l.meanLoad)*-math.Expm1(-elapsed/loadAverageTime.Seconds())
 }
 
-// loadOn is the part of an attempt's work that a link is expected to carry.
 func (a *attempt) loadOn(l *link) float64 {
 	if l == &a.target.link {
 		return 1
@@ -158,7 +158,7 @@
 		if work >= minTimedWork {
 			l.learnSlowdown(r.now, took/work)
 		}
-	} else if math.Max(took, expected) >= congestedFrom*work {
+	} else if (o.Sending > 0 || !l.told) && math.Max(took, expected) >= congestedFrom*work {
 		l.learnCapacity(math.Max(expected, work) / took)
 	}
 }
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -69,7 +69,7 @@
 		case r.isCache(m):
 			allCaches += size
 			if m.Zone == r.settings.Zone {
-				m.link.resize(size, zoneRouters)
+				m.link.resize(size, zoneRouters, r.settings.WeightsTold)
 				r.caches = append(r.caches, m)
 				zoneFills += size * fillShare
 			}
@@ -77,13 +77,14 @@
 	}
 	for _, m := range r.parents {
 		even := max(fillShare*allCaches/float64(len(r.parents)), defaultCapacity)
-		m.link.resize(r.linkSize(m, even), instances)
+		m.link.resize(r.linkSize(m, even), instances, r.settings.WeightsTold)
 	}
 	if r.origin != nil {
-		r.origin.link.resize(max(fillShare*fillShare*allCaches, defaultCapacity), instances)
+		r.origin.link.resize(max(fillShare*fillShare*allCaches, defaultCapacity), instances, false)
 		r.originLimiter.minimum = min(1, r.origin.link.nominal/instances)
 	}
-	r.zoneLink.resize(max(cmp.Or(r.settings.ZoneLink, zoneFills), 1), zoneRouters)
+	told := r.settings.WeightsTold || r.settings.ZoneLink > 0
+	r.zoneLink.resize(max(cmp.Or(r.settings.ZoneLink, zoneFills), 1), zoneRouters, told)
 }
 
 func (r *Router) linkSize(m *member, otherwise float64) float64 {
--- a/policy/source.go
+++ b/policy/source.go
@@ -13,8 +13,7 @@
 	copyMemory         = 30 * time.Second
 )
 
-// copyRecord is what answers have shown of a copy: when it was filled, and when it was last seen.
-type copyRecord struct{ filled, seen time.Duration }
+type copyRecord struct{ filled, seen time.Duration } // when it was filled, and last shown by an answer
 
 // A purge is remembered for as long as an older copy, or a record of one, may exist.
 func (purge Purge) apply(r *Router) {
