Join fills under way after a purge too, and look at the age of what comes

By source and half second, each parent stalls for two to three seconds in turn: s- answers 16 of 130 calls begun at 11.0 s and 72 of 101 at 13.5 s; what it had begun small objects for at 12.4 s (0.03 s of sending) comes at 13.6 s, all at once.

Ruled out: the origin (first-byte waits stay at 0.2 s); one target or one zone (stalled calls are spread over all caches); a crash (calls begun in the same half second are answered); the origin's limiter (it never falls: nothing fails).

Cause: Router.fetch cleared Join for every object that was purged in the last 6.3 s. For a purge of one object that is harmless; when all copies go void, each of 80 proxies fills the same popular objects again and again, and parents that hold too many transfers lose capacity. The inherited module had it so, in fear of a fill that began before the purge.

Change: the first attempt joins, with the bound on age that it had. Proxies now also look at the answer themselves: a copy made before the bound of its call is not passed on, and the further attempt joins nothing.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,6 +13,9 @@
 // few.
 const mostMoves = 2
 
+// ageSlack is what the age of a copy may exceed its bound by: both are told in whole milliseconds.
+const ageSlack = 2 * time.Millisecond
+
 // attempt is one sending of a request to a cache, a parent or the origin. It ends once, with one result.
 type attempt struct {
 	p       *Proxy
@@ -23,6 +26,7 @@
 	on      *upstream // nil: it got no connection
 	place   int       // how often it has been put on a connection
 	started bool      // its first byte has been written: it may run
+	oldest  int64     // Unix millisecond before which no copy that answers it may have been made; 0: not bound
 	ended   bool
 }
 
@@ -90,6 +94,9 @@
 		a.p.end(a, resp.Answer{}, policy.ResultMoot)
 		return nil, false
 	}
+	if f.MaxAge > 0 {
+		a.oldest = (a.p.loop.Now() - f.MaxAge - ageSlack).Milliseconds()
+	}
 	c := resp.Call{
 		ID: a.req.ID, Class: a.req.Name, Object: a.req.Object, Part: strconv.Itoa(a.req.Part),
 		Wait: max(a.req.deadline-a.p.loop.Now(), time.Millisecond), Keep: f.Keep, MaxAge: f.MaxAge, Have: a.req.Version, Token: a.req.Token,
@@ -113,6 +120,10 @@
 // answered takes the answer to an attempt. The first good one is the request's.
 func (p *Proxy) answered(a *attempt, ans resp.Answer) {
 	result := results[ans.Word]
+	// A fill that was joined may have begun before a purge. Its copy is not passed on; another attempt follows.
+	if result == policy.ResultOK && a.tooOld(ans) {
+		result = policy.ResultError
+	}
 	// The danger: the client keeps a copy that nobody has named, and takes it for current. The answer is well formed
 	// all the same: what else is out on the connection is not harmed.
 	if ans.Word == resp.StillGood && (a.req.Version == "" || ans.Tag != a.req.Version) {
@@ -128,6 +139,9 @@
 	p.end(a, ans, result)
 }
 
+// tooOld says that a copy was made before what the call asked for. Answers that do not say when are trusted.
+func (a *attempt) tooOld(ans resp.Answer) bool { return ans.Made > 0 && ans.Made < a.oldest }
+
 // A word without a result counts as an error: it may have run.
 var results = map[resp.Word]policy.Result{
 	resp.Served: policy.ResultOK, resp.StillGood: policy.ResultOK, resp.NotHere: policy.ResultMiss,
--- a/policy/router.go
+++ b/policy/router.go
@@ -266,11 +266,11 @@
 	if (a.number > 0 || a.heldOnly) && req.class.Fresh > 0 {
 		f.MaxAge = req.class.Fresh + req.class.Grace
 	}
-	// A copy from before a purge may still exist: its age is bounded, and no older fill is joined.
+	// A copy from before a purge may still exist: its age is bounded. A further attempt joins no fill.
 	if at, purged := r.purgedAt(req); purged && r.now-at <= r.settings.ClearedWithin+r.settings.PurgeGrace {
 		since := max(r.now-at, time.Microsecond)
 		f.MaxAge = min(cmp.Or(f.MaxAge, req.class.Fresh, since), since)
-		f.Join = false
+		f.Join = f.Join && a.number == 0
 	}
 	return f
 }
--- a/policy/types.go
+++ b/policy/types.go
@@ -202,12 +202,12 @@
 type Fetch struct {
 	ID       int64
 	Target   string
-	Source   string // the target itself: nothing is filled
-	Keep     int    // rank of the copy; 0: keep none
-	MaxAge   time.Duration
-	Join     bool
-	HeldOnly bool // the source gives only what it holds
-	Renew    bool // serve an ageing copy and fetch it anew behind
+	Source   string        // the target itself: nothing is filled
+	Keep     int           // rank of the copy; 0: keep none
+	MaxAge   time.Duration // oldest copy that will do; 0: as the class has it
+	Join     bool          // wait for a fill that is under way
+	HeldOnly bool          // the source gives only what it holds
+	Renew    bool          // serve an ageing copy and fetch it anew behind
 }
 
 // Refuse is a final answer: not done, and trying again is harmless.
