--- /dev/null
+++ b/cmd/cloverdoor/client_test.go
@@ -0,0 +1,477 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestAbortStopsTheCall(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	got := receive(t, w.cache.calls, "call")
+	c.record(2, 1, "")
+	if stop := receive(t, w.cache.stops, "STOP"); stop.words[1] != got.words[1] {
+		t.Errorf("%q", stop.words)
+	}
+	if a := receive(t, c.answers, "END_REQUEST"); a.id != 1 || a.status != "" {
+		t.Errorf("%+v", a)
+	}
+	got.answer("served", "-", "too late")
+	c.ask(1, "artes", longWait, 2, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "new")
+	if a := receive(t, c.answers, "answer"); a.body != "new" {
+		t.Errorf("%+v", a)
+	}
+	c.ask(2, "artes", longWait, 3, "")
+	receive(t, w.cache.calls, "call")
+	c.Close() // leaves everything
+	receive(t, w.cache.stops, "STOP")
+}
+
+// Requests that are taken back in the turn they came in are not counted as under way at a cache for good: were
+// they, its link would look full, and those that come later would be refused.
+func TestTakenBackAtOnceIsForgotten(t *testing.T) {
+	w := prepare(t)
+	small := member("c1", "std", "edge", "SERVING", w.cache)
+	small["weight"] = 1
+	w.start(list(1, true, small, member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	c := w.dial()
+	together := &batch{Conn: c.Conn}
+	for id := range uint16(30) {
+		r := &client{Conn: together}
+		r.ask(id+1, "artes", longWait, int(id), "")
+		r.record(2, id+1, "")
+	}
+	together.flush()
+	for range 30 {
+		receive(t, c.answers, "END_REQUEST")
+	}
+	w.cache.serve("served", "-", "fine")
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
+func TestMalformedClients(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	for _, bytes := range []string{"GET / HTTP/1.1\r\n\r\n", "\x01\x01\x00\x01\x00\x00\x00\x00", "\x01\x01\x00\x01\x00\x08\x00\x00\x00\x01\x01\x00\x00\x00\x00\x00" +
+		"\x01\x04\x00\x01\x00\x03\x00\x00\xff\xff\xff\x01\x04\x00\x01\x00\x00\x00\x00"} {
+		c := w.dial()
+		fmt.Fprint(c, bytes)
+		if a := receive(t, c.answers, "close"); a.id != 0 {
+			t.Errorf("%q: %+v", bytes, a)
+		}
+	}
+	c := w.dial()
+	for i, extra := range [][]string{{"HTTP_REQ_ID", "a,b=c"}, {"HTTP_REQ_WAIT_MS", "soon"}, {"HTTP_X_PIECE", "-1"},
+		{"HTTP_X_LOT", "256"}, {"HTTP_REQ_KEY", ""}, {"SCRIPT_NAME", "/ops/none"}, {"SCRIPT_NAME", "/"}} {
+		c.ask(uint16(i+1), "artes", longWait, 1, "", extra...)
+		if a := receive(t, c.answers, "answer"); a.status != "400" {
+			t.Errorf("%v: %+v", extra, a)
+		}
+	}
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that reads nothing neither holds up the others nor costs memory without bound.
+func TestClientThatDoesNotRead(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", strings.Repeat("x", 240_000))
+	stick := func(requests uint16) {
+		stuck, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { stuck.Close() })
+		for id := range requests {
+			(&client{Conn: stuck}).ask(id+1, "artes", longWait, int(id), "")
+		}
+	}
+	stick(30)
+	c := w.dial()
+	for id := range uint16(20) {
+		c.ask(id+1, "artes", longWait, int(id), "")
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Fatalf("%s, %d bytes", a.status, len(a.body))
+		}
+	}
+	for range 60 { // 460 MB of answers, were they all kept
+		stick(32)
+	}
+	for id := range uint16(200) { // some are refused meanwhile
+		c.ask(id+1, "artes", longWait, int(id), "")
+		if a := receive(t, c.answers, "answer"); a.id != id+1 {
+			t.Fatalf("%+v", a)
+		}
+	}
+	w.checkMemory()
+}
+
+// A client that vanished without a word must not keep a descriptor: not when idle, not in mid-request.
+func TestVanishedClientsAreClosed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	idle, half, waiting := w.dial(), w.dial(), w.dial()
+	idle.send(1, map[string]string{"SCRIPT_NAME": "/alive"}, "")
+	receive(t, idle.answers, "answer")
+	half.record(1, 1, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	waiting.ask(1, "artes", longWait, 1, "")
+	for _, c := range []*client{idle, half} {
+		if a := receive(t, c.answers, "close"); a.id != 0 {
+			t.Errorf("%+v", a)
+		}
+	}
+	receive(t, w.cache.calls, "call").answer("served", "-", "late")
+	if a := receive(t, waiting.answers, "answer"); a.body != "late" {
+		t.Errorf("one that is owed an answer: %+v", a)
+	}
+}
+
+// Clients that connect and say nothing, or ask once and stay, keep out no other, whether it comes before or after
+// them, and end in a close.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	served := func(who string, c *client) {
+		t.Helper()
+		c.ask(1, "artes", longWait, 1, "")
+		if a := receive(t, c.answers, "answer"); a.body != "fine" {
+			t.Errorf("%s: %+v", who, a)
+		}
+	}
+	early := w.dial()
+	served("early", early)
+	var silent []*client
+	for range 600 { // two fifths of the descriptors are 409
+		silent = append(silent, w.dial())
+	}
+	served("late", w.dial())
+	served("early", early)
+	half := w.dial()
+	half.record(1, 1, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	for _, c := range append(silent, half) {
+		if a := receive(t, c.answers, "close"); a.id != 0 {
+			t.Errorf("%+v", a)
+		}
+	}
+	for range 600 {
+		served("once", w.dial())
+	}
+}
+
+// More bodies than the memory allows are refused while they last, and the process stays within its limit.
+func TestFloodIsRefused(t *testing.T) {
+	w := newWorld(t)
+	body, answers := strings.Repeat("b", 48_000), make(chan answer, 10_000)
+	var conns []*client
+	for range 60 {
+		c := w.dial()
+		conns = append(conns, c)
+		go func() {
+			for a := range c.answers {
+				answers <- a
+			}
+		}()
+		go func() {
+			for id := range uint16(32) { // 92 MB in all; the origin answers none of it
+				c.ask(id+1, "registro", longWait, int(id), body)
+			}
+		}()
+	}
+	if a := receive(t, answers, "refusal"); a.protocol != 2 {
+		t.Errorf("%+v, want OVERLOADED", a)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	w.cache.serve("served", "-", "fine")
+	w.eventually("an answer after the flood", func() bool {
+		c := w.dial()
+		c.ask(1, "artes", longWait, 1, "")
+		return receive(t, c.answers, "answer").body == "fine"
+	})
+	w.checkMemory()
+}
+
+func (c *client) closeWrite() { c.Conn.(*net.TCPConn).CloseWrite() } //nolint:errcheck // shows in the answers
+
+// What a client sent in one piece with its end is not begun when it is read long after: it has left by then.
+func TestNothingBeginsForAClientThatHasLeft(t *testing.T) {
+	for _, how := range []string{"half-close", "close", "abort"} {
+		t.Run(how, func(t *testing.T) {
+			w := newWorld(t)
+			c := w.dial()
+			c.ask(1, "artes", longWait, 1, "")
+			receive(t, w.cache.calls, "call").answer("served", "-", "one")
+			receive(t, c.answers, "answer")
+			thaw := w.freeze()
+			c.ask(2, "artes", longWait, 2, "")
+			c.ask(3, "registro", longWait, 3, strings.Repeat("x", 40_000))
+			switch how {
+			case "half-close":
+				c.closeWrite()
+			case "close":
+				c.Close()
+			case "abort":
+				c.record(2, 2, "")
+				c.record(2, 3, "")
+			}
+			time.Sleep(longer) // not a race: it is by this that the client left before
+			thaw()
+			if how == "half-close" { // it is told that nothing was done
+				for range 2 {
+					if a := receive(t, c.answers, "refusal"); a.status != "503" {
+						t.Errorf("%+v", a)
+					}
+				}
+			}
+			other := w.dial()
+			other.ask(1, "artes", longWait, 77, "")
+			got := receive(t, w.cache.calls, "call")
+			if got.fields["k"] != fmt.Sprintf("%016x", 77) || len(w.origin.calls) > 0 {
+				t.Errorf("%q was sent for a client that has left", got.words)
+			}
+			got.answer("served", "-", "")
+			receive(t, other.answers, "answer")
+		})
+	}
+}
+
+// A client that ends only its own side, right after it asked, gets what can be had at once.
+func TestHalfClosedClientGetsItsAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "one")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	c.closeWrite()
+	if a := receive(t, c.answers, "answer"); a.id != 1 || a.status != "200" && a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, c.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// unreading returns a client that has left over 1 MB of answers unread, and of which one request, number 99, is out at
+// the cache.
+func unreading(w *world) (stuck net.Conn, out *call) {
+	w.t.Helper()
+	conn, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { conn.Close() })
+	c := &client{Conn: conn}
+	c.ask(99, "artes", longWait, 99, "")
+	out = receive(w.t, w.cache.calls, "call")
+	for id := range uint16(31) { // 7.4 MB: over what the system takes for both ends
+		c.ask(id+1, "artes", longWait, int(id), "")
+	}
+	for range 31 {
+		receive(w.t, w.cache.calls, "call").answer("served", "-", strings.Repeat("x", 240_000))
+	}
+	w.eventually("all others are answered", func() bool { return w.figure("svc_open_requests") == 1 })
+	return conn, out
+}
+
+// A client that leaves its answers unread is heard all the same, when it leaves and when it takes a request back:
+// else a retry for it might begin at any time.
+func TestUnreadingClientIsHeard(t *testing.T) {
+	for _, how := range []string{"half-close", "abort"} {
+		t.Run(how, func(t *testing.T) {
+			w := newWorld(t)
+			conn, out := unreading(w)
+			c := &client{Conn: conn}
+			c.ask(100, "artes", longWait, 100, "") // waits, as its client reads nothing
+			if how == "abort" {
+				c.record(2, 99, "")
+				c.record(2, 100, "")
+			} else {
+				c.closeWrite()
+			}
+			if stop := receive(t, w.cache.stops, "STOP"); stop.words[1] != out.words[1] {
+				t.Errorf("%q", stop.words)
+			}
+			if len(w.cache.calls) > 0 {
+				t.Errorf("%q was sent for it", (<-w.cache.calls).words)
+			}
+		})
+	}
+}
+
+// What a client asks while it leaves its answers unread is served once it reads on.
+func TestParkedRequestIsServed(t *testing.T) {
+	w := newWorld(t)
+	conn, out := unreading(w)
+	c := &client{conn, make(chan answer, 1000)}
+	c.ask(100, "artes", longWait, 100, "")
+	out.answer("served", "-", "out")
+	go c.read()
+	for range 32 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" {
+			t.Errorf("%+v", a)
+		}
+	}
+	receive(t, w.cache.calls, "call").answer("served", "-", "parked")
+	if a := receive(t, c.answers, "answer"); a.id != 100 || a.body != "parked" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Clients that ask once and stay, with discovery down, keep out neither those that come after them nor the
+// coordinator when it is back.
+func TestCrowdKeepsNobodyOut(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	receive(t, w.follows, "follow")
+	w.silence()
+	for i := range 700 { // two fifths of the descriptors are 409
+		c := w.dial()
+		c.ask(1, "artes", longWait, i, "")
+		if a := receive(t, c.answers, "answer"); a.body != "fine" {
+			t.Fatalf("client %d: %+v", i, a)
+		}
+	}
+	w.awaitAlive("200")
+	w.resume()
+	if got := receive(t, w.follows, "follow"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+}
+
+// A request that came while the process did not run is served, though its connection has been idle for long enough to
+// be closed; one that comes after the close is not sent on.
+func TestRequestsAroundAnIdleClose(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	early, after := w.dial(), w.dial()
+	for _, c := range []*client{early, after} {
+		c.ask(1, "artes", longWait, 1, "")
+		receive(t, w.cache.calls, "call").answer("served", "-", "fine")
+		receive(t, c.answers, "answer")
+	}
+	thaw := w.freeze()
+	time.Sleep(5500 * time.Millisecond) // not a race: both have been idle for too long by then
+	early.ask(2, "artes", longWait, 2, "")
+	thaw()
+	receive(t, w.cache.calls, "call").answer("served", "-", "early")
+	if a := receive(t, early.answers, "answer"); a.body != "early" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, after.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+	after.ask(2, "artes", longWait, 3, "")
+	early.ask(3, "artes", longWait, 4, "")
+	if got := receive(t, w.cache.calls, "call"); got.fields["k"] != fmt.Sprintf("%016x", 4) {
+		t.Errorf("%q was sent on after the close", got.words)
+	}
+}
+
+// Where the settings allow no advice, a refusal gives none.
+func TestNoAdviceWhereNoneIsAllowed(t *testing.T) {
+	w := newWorld(t)
+	w.reload(`"second-copies":true`, `"retry-after":false,"second-copies":true`)
+	w.eventually("taken over", func() bool { return w.figure("svc_cfg_accepted") == 1 })
+	w.origin.Close()
+	c := w.dial()
+	c.ask(1, "registro", longWait, 1, "x")
+	if a := receive(t, c.answers, "answer"); a.status != "503" || strings.Contains(a.headers, "Srv-Wait-Ms") {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A request that was read so late that its client's time is over is refused at once, and sent nowhere.
+func TestRequestReadTooLateIsRefused(t *testing.T) {
+	w := newWorld(t)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call").answer("served", "-", "fine")
+	receive(t, c.answers, "answer")
+	thaw := w.freeze()
+	c.ask(2, "artes", 500, 2, "")
+	c.ask(3, "artes", longWait, 3, "")
+	time.Sleep(600 * time.Millisecond) // not a race: it is by this that the first one's time is over
+	thaw()
+	if a := receive(t, c.answers, "refusal"); a.id != 2 || a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if got := receive(t, w.cache.calls, "call"); got.fields["k"] != fmt.Sprintf("%016x", 3) {
+		t.Errorf("%q was sent though its time was over", got.words)
+	}
+}
+
+// A client that reads slowly and has ended its own side gets all answers that were given before, and one final answer
+// to what was still open.
+func TestHalfClosedSlowReader(t *testing.T) {
+	w := newWorld(t)
+	conn, _ := unreading(w)
+	c := &client{conn, make(chan answer, 1000)}
+	c.closeWrite()
+	receive(t, w.cache.stops, "STOP")
+	go c.read()
+	for range 31 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Errorf("%+v", a)
+		}
+	}
+	if a := receive(t, c.answers, "answer"); a.id != 99 || a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, c.answers, "close"); a.id != 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that asks for its connection to be closed, and closes its own side first, still gets what it has not read.
+func TestClosedOnBothSidesWithAnswersUnread(t *testing.T) {
+	w := newWorld(t)
+	conn, _ := unreading(w)
+	c := &client{conn, make(chan answer, 1000)}
+	c.record(1, 100, "\x00\x01\x00\x00\x00\x00\x00\x00") // without KEEP_CONN
+	c.record(4, 100, "\x0b\x06SCRIPT_NAME/alive")
+	c.record(4, 100, "")
+	c.record(5, 100, "")
+	c.record(2, 99, "")
+	receive(t, w.cache.stops, "STOP") // nothing is open any more: the program closes
+	c.closeWrite()
+	w.awaitAlive("200") // by now it has seen that
+	go c.read()
+	for range 31 {
+		if a := receive(t, c.answers, "answer"); a.status != "200" || len(a.body) != 240_000 {
+			t.Fatalf("%d %s %d bytes", a.id, a.status, len(a.body))
+		}
+	}
+}
+
+// A client that writes slowly is waited for as long as it goes on, and served.
+func TestSlowWriterIsServed(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	c := w.dial()
+	out := &batch{Conn: c.Conn}
+	(&client{Conn: out}).ask(1, "artes", longWait, 1, "")
+	for begin := time.Now(); len(out.out) > 0; time.Sleep(50 * time.Millisecond) { // its pace is what is tested
+		n := 1
+		if time.Since(begin) > 3*time.Second {
+			n = len(out.out)
+		}
+		c.Write(out.out[:n]) //nolint:errcheck // shows in the answers
+		out.out = out.out[n:]
+	}
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
--- /dev/null
+++ b/cmd/cloverdoor/coordinator_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestDrainedCacheGetsNothingNew(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	w.cache.serve("served", "-", "first")
+	second.serve("served", "-", "second")
+	c, id := w.dial(), uint16(0)
+	served := func(object int) string {
+		id++
+		c.ask(id, "artes", longWait, object, "")
+		return receive(t, c.answers, "answer").body
+	}
+	w.tell(list(2, false, member("c1", "std", "edge", "DRAINING", w.cache), member("c2", "std", "edge", "SERVING", second)))
+	w.eventually("the list was heeded", func() bool { return served(1) == "second" })
+	for object := range 20 {
+		if got := served(object); got != "second" {
+			t.Errorf("object %d from %q", object, got)
+		}
+	}
+}
+
+// Connections belong to a server, not to its address: the next server there gets connections of its own.
+func TestNewServerAtAnOldAddress(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	c, id := w.dial(), uint16(1)
+	c.ask(id, "artes", longWait, 1, "")
+	old := receive(t, w.cache.calls, "call")
+	w.tell(list(2, false, member("c1", "std", "edge", "DELETED", w.cache), member("c9", "std", "edge", "SERVING", w.cache)))
+	w.eventually("a call on a new connection", func() bool {
+		id++
+		c.ask(id, "artes", longWait, 1, "")
+		got := receive(t, w.cache.calls, "call")
+		got.answer("served", "-", "new")
+		receive(t, c.answers, "answer")
+		return got.conn != old.conn
+	})
+	old.answer("served", "-", "old") // what was out may still be answered
+	if a := receive(t, c.answers, "answer"); a.id != 1 || a.body != "old" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// After a purge no older copy is asked for, and no fill is joined that may bring one.
+func TestPurgeBoundsTheAge(t *testing.T) {
+	for _, purge := range []string{`{"index":2,"evict":{"ref":"0000000000000001","unix_ms":%d}}`, `{"index":2,"evict":{"shard":17,"unix_ms":%d}}`} {
+		w := newWorld(t)
+		receive(t, w.follows, "follow")
+		c, id := w.dial(), uint16(0)
+		moment := time.Now().Add(-2 * time.Second)
+		w.tell(fmt.Sprintf(purge, moment.UnixMilli()))
+		w.eventually("an age in a call", func() bool {
+			id++
+			c.ask(id, "artes", longWait, 1, "")
+			got := receive(t, w.cache.calls, "call")
+			most := time.Since(moment).Milliseconds()
+			got.answer("served", "-", "")
+			receive(t, c.answers, "answer")
+			age, _ := strconv.ParseInt(got.fields["maxage"], 10, 64)
+			if age > most {
+				t.Errorf("%q when the purge was %d ms ago", got.words[2], most)
+			}
+			return age > 0
+		})
+		c.ask(1000, "artes", longWait, 1, "")
+		got := receive(t, w.cache.calls, "call")
+		if !strings.Contains(got.fields["flags"], "coalesce") {
+			t.Errorf("%q: all that miss after a purge would fill apart", got.words[2])
+		}
+		got.answer("served", fmt.Sprintf("etag=a,note=TCP_JOIN,made=%d", moment.UnixMilli()-1000), "from before the purge")
+		got = receive(t, w.cache.calls, "further call")
+		if strings.Contains(got.fields["flags"], "coalesce") {
+			t.Errorf("%q: may join the same fill again", got.words[2])
+		}
+		got.answer("served", fmt.Sprintf("etag=b,note=TCP_MISS,made=%d", moment.UnixMilli()+100), "from after the purge")
+		if a := receive(t, c.answers, "answer"); a.id != 1000 || a.status != "200" || a.body != "from after the purge" {
+			t.Errorf("%+v", a)
+		}
+	}
+}
+
+// The stream is followed anew from the last event taken: after a bad line, a gap, a number that says events
+// are missing, its end, and a silence. Repeats are dropped.
+func TestCoordinatorIsFollowedAnew(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	follow := func(what, want string) {
+		t.Helper()
+		if got := receive(t, w.follows, "follow "+what); got != want {
+			t.Errorf("%s: %q, want %q", what, got, want)
+		}
+	}
+	follow("at the start", "follow 1")
+	w.tell(`{"index":1,"evict":{"shard":1,"unix_ms":1}}`)
+	w.tell(`{"index":2,"evict":{"shard":1,"unix_ms":1}}`)
+	w.tell("2")
+	w.tell("nonsense")
+	follow("after a bad line", "follow 2")
+	w.tell(`{"index":4,"evict":{"shard":1,"unix_ms":1}}`)
+	follow("after a gap", "follow 2")
+	w.tell("3")
+	follow("after a number too high", "follow 2")
+	w.tell(`{"index":3,"evict":{"shard":1,"unix_ms":1}}`)
+	w.feed.(*net.TCPConn).CloseWrite()
+	follow("after the stream's end", "follow 3")
+	follow("after silence", "follow 3")
+}
+
+func TestAliveOnceTheListIsKnown(t *testing.T) {
+	w := prepare(t)
+	w.start()
+	w.awaitAlive("503")
+	if got := receive(t, w.follows, "follow"); got != "follow 0" {
+		t.Errorf("%q", got)
+	}
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.status != "503" {
+		t.Errorf("without a list: %+v", a)
+	}
+	w.tell(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+}
+
+// A drain counts though the line that told it was cut in half as the stream died: it is told again, whole.
+func TestDrainInHalfALine(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	w.tell(list(2, false, member("c2", "std", "edge", "SERVING", second)))
+	drain := `{"index":3,"endpoints":{"version":3,"full":false,"servers":[{"id":"c1","addr":"` + w.cache.Addr().String() +
+		`","zone":"edge","kind":"std","state":"DRAINING","weight":10000}]}}`
+	w.mu.Lock()
+	fmt.Fprint(w.feed, drain[:len(drain)/2])
+	w.feed.Close()
+	w.mu.Unlock()
+	if got := receive(t, w.follows, "follow"); got != "follow 2" {
+		t.Errorf("%q", got)
+	}
+	w.tell(drain)
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// heeds waits until all that was told has been taken.
+func (w *world) heeds() {
+	w.t.Helper()
+	w.tell("nonsense") // is answered by following anew
+	receive(w.t, w.follows, "follow")
+}
+
+// servedOnlyBy checks that reads of all kinds of objects are answered with one body.
+func (w *world) servedOnlyBy(body string) {
+	w.t.Helper()
+	c := w.dial()
+	for i := range 30 {
+		c.ask(1, "artes", longWait, i, "")
+		if a := receive(w.t, c.answers, "answer"); a.body != body {
+			w.t.Errorf("object %d: %+v", i, a)
+		}
+	}
+	if len(w.cache.calls) > 0 {
+		w.t.Errorf("%q was sent to a cache that drains", (<-w.cache.calls).words)
+	}
+}
+
+// A stream that goes on and on without ending a line is as good as silent.
+func TestEndlessLineIsGivenUp(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	w.mu.Lock()
+	feed := w.feed
+	w.mu.Unlock()
+	go func() {
+		for _, err := fmt.Fprint(feed, `{"index":2,`); err == nil; _, err = fmt.Fprint(feed, " ") {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	if got := receive(t, w.follows, "follow anew"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+}
+
+// An entry that can't be read may have told of a drain: its server gets nothing new.
+func TestUnreadableEntryCountsAsGone(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	broken := member("c1", "std", "edge", "DRAINING", w.cache)
+	broken["addr"] = "nowhere"
+	w.tell(list(2, false, broken, member("c2", "std", "edge", "SERVING", second)))
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// A whole list that leaves a server out says that it is gone, just after a reload too.
+func TestWholeListAfterAReload(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	old := w.feed
+	w.reload(old.LocalAddr().String(), w.coordinator())
+	receive(t, w.follows, "follow")
+	w.tell(list(2, true, member("c2", "std", "edge", "SERVING", second), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.heeds()
+	w.servedOnlyBy("second")
+}
+
+// A restarted process serves at once by the list in its configuration, though discovery is down.
+func TestReadyWithDiscoveryDown(t *testing.T) {
+	w := prepare(t)
+	w.cache.serve("served", "-", "fine")
+	w.down = true
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	w.resume()
+	if got := receive(t, w.follows, "follow"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+}
--- /dev/null
+++ b/cmd/cloverdoor/standin_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// call is a command that reached a server, on its connection.
+type call struct {
+	conn   net.Conn
+	words  []string
+	fields map[string]string
+}
+
+func (c *call) answer(word, fields, body string) {
+	fmt.Fprintf(c.conn, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n",
+		len(c.words[1]), c.words[1], len(word), word, len(fields), fields, len(body), body)
+}
+
+// server stands in for a cache, a parent or the origin.
+type server struct {
+	net.Listener
+	calls chan *call // REQ
+	stops chan *call // STOP
+}
+
+func newServer(t *testing.T) *server {
+	s := &server{listen(t), make(chan *call, 1000), make(chan *call, 1000)}
+	go serveEach(s, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		for {
+			words, err := command(in)
+			if err != nil {
+				return
+			}
+			c := &call{conn: conn, words: words, fields: map[string]string{}}
+			if words[0] == "STOP" {
+				s.stops <- c
+				continue
+			}
+			for _, f := range strings.Split(words[2], ",") {
+				name, value, _ := strings.Cut(f, "=")
+				c.fields[name] = value
+			}
+			s.calls <- c
+		}
+	})
+	return s
+}
+
+// serve answers every call alike from now on.
+func (s *server) serve(word, fields, body string) {
+	go func() {
+		for c := range s.calls {
+			c.answer(word, fields, body)
+		}
+	}()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", loopback(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// loopback is a port 0 of an address of this test process's own: connections go out from 127.0.0.1, and may there take
+// the port that the program, or a coordinator that comes back, is about to open.
+func loopback(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8&0x7f, pid&0xff, host)
+}
+
+// given are the addresses that freeAddr has handed out.
+var given sync.Map
+
+// freeAddr returns an address for the program to listen on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for {
+		l, err := net.Listen("tcp", loopback(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		if _, taken := given.LoadOrStore(l.Addr().String(), true); !taken {
+			return l.Addr().String()
+		}
+	}
+}
+
+func serveEach(l net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
+func command(in *bufio.Reader) (words []string, err error) {
+	var n, size int
+	if _, err := fmt.Fscanf(in, "*%d\r\n", &n); err != nil {
+		return nil, err
+	}
+	for range n {
+		if _, err := fmt.Fscanf(in, "$%d\r\n", &size); err != nil {
+			return nil, err
+		}
+		word := make([]byte, size+2)
+		if _, err := io.ReadFull(in, word); err != nil {
+			return nil, err
+		}
+		words = append(words, string(word[:size]))
+	}
+	return words, nil
+}
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,17 +30,6 @@
 	PeerClosed() (owed bool)
 }
 
-// Message is output that is made only when its first byte is about to be written.
-type Message interface {
-	// Encode returns the bytes, or false when the message is not to be sent any more. It may be called again
-	// when the peer took nothing.
-	Encode() ([]byte, bool)
-	// Started is called once, when the first byte has been written.
-	Started()
-	// Written is called once, when the last byte has been written.
-	Written()
-}
-
 // ErrConnect marks a connection that never came up: nothing was sent on it.
 var ErrConnect = errors.New("not connected")
 
@@ -80,13 +68,6 @@
 	wrote   Clock
 }
 
-// output is bytes, or a message that has not been encoded yet.
-type output struct {
-	data    []byte
-	msg     Message
-	written func() // of a message that has been encoded
-}
-
 // Up says whether the connection has been made.
 func (c *Conn) Up() bool { return c.up }
 
@@ -99,9 +80,6 @@
 // Heard is when the peer was last heard of: made the connection or sent something.
 func (c *Conn) Heard() Clock { return c.heard }
 
-// Backlog is how many bytes wait to be written, and since when none was.
-func (c *Conn) Backlog() (bytes int, since Clock) { return c.queued, c.wrote }
-
 // Pending is how many bytes have been received and not used yet: part of a message.
 func (c *Conn) Pending() int { return len(c.in) }
 
@@ -113,50 +91,6 @@
 	return err == nil && n > 0
 }
 
-// Write queues bytes; the connection keeps them.
-func (c *Conn) Write(data []byte) {
-	if c.Ended() || len(data) == 0 {
-		return
-	}
-	c.push(output{data: data})
-}
-
-// Send queues a message.
-func (c *Conn) Send(m Message) {
-	if !c.Ended() {
-		c.push(output{msg: m})
-	}
-}
-
-func (c *Conn) push(o output) {
-	if c.queued == 0 {
-		c.wrote = c.loop.now
-	}
-	c.count(len(o.data))
-	c.scheduleFlush()
-	if n := len(c.queue); n > 0 && o.msg == nil {
-		if last := &c.queue[n-1]; last.msg == nil && last.written == nil && len(last.data)+len(o.data) <= mostJoined {
-			last.data = append(last.data, o.data...)
-			return
-		}
-	}
-	c.queue = append(c.queue, o)
-}
-
-// scheduleFlush has the queue written at the end of the turn: all that has come in it is known by then, and a message
-// may be void.
-func (c *Conn) scheduleFlush() {
-	if !c.dirty {
-		c.dirty = true
-		c.loop.dirty = append(c.loop.dirty, c)
-	}
-}
-
-func (c *Conn) count(n int) {
-	c.queued += n
-	c.loop.held += n
-}
-
 // Close ends the connection at once. Its handler is not called any more.
 func (c *Conn) Close() {
 	if c.closed {
@@ -213,15 +147,6 @@
 	})
 }
 
-// Unacked is how many bytes the peer has not acknowledged of those that were written.
-func (c *Conn) Unacked() int {
-	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 func (c *Conn) fail(err error) {
 	if c.closed {
 		return
@@ -268,24 +193,6 @@
 	half.PeerClosing(after)
 }
 
-// connected looks at how a connect ended.
-func (c *Conn) connected() {
-	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
-	if err == nil && code != 0 {
-		err = unix.Errno(code)
-	}
-	if err != nil {
-		c.fail(err)
-		return
-	}
-	if _, err := unix.Getpeername(c.fd); err != nil {
-		return // not yet
-	}
-	c.loop.Stop(c.timeout)
-	c.up, c.heard, c.wrote, c.took = true, c.loop.now, c.loop.now, c.Age()
-	c.scheduleFlush()
-}
-
 // receive takes what has come. A connection that brings much is read on, within bounds: a client may have taken back
 // further on what it asks for first.
 func (c *Conn) receive() {
@@ -360,70 +267,6 @@
 
 func retry(err error) bool { return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) }
 
-// flush writes until the peer takes no more.
-func (c *Conn) flush() {
-	for c.up && !c.closed && len(c.queue) > 0 {
-		more, err := c.writeFirst()
-		if err != nil {
-			c.fail(err)
-			return
-		}
-		if !more {
-			break
-		}
-	}
-	switch {
-	case c.closed:
-	case c.queued > mostQueued:
-		c.fail(ErrBacklog)
-	case c.closing && len(c.queue) == 0:
-		c.shutdown()
-	default:
-		c.watch()
-	}
-}
-
-// writeFirst writes from the first output of the queue; more is false when the peer takes no more now. A
-// message that the peer took nothing of stays unmade, as what it says may have to change until it goes.
-func (c *Conn) writeFirst() (more bool, err error) {
-	first := &c.queue[0]
-	data := first.data
-	if first.msg != nil {
-		made, ok := first.msg.Encode()
-		if c.closed { // it was the last use of a connection that was to be closed
-			return false, nil
-		}
-		if !ok {
-			c.queue = c.queue[1:]
-			return true, nil
-		}
-		data = made
-	}
-	n, err := unix.Write(c.fd, data)
-	if err != nil && !retry(err) {
-		return false, fmt.Errorf("write: %w", err)
-	}
-	if n <= 0 {
-		return false, nil
-	}
-	c.wrote = c.loop.now
-	if msg := first.msg; msg != nil {
-		c.count(len(data))
-		first.msg, first.written = nil, msg.Written
-		msg.Started()
-	}
-	c.count(-n)
-	if n < len(data) {
-		first.data = data[n:]
-		return false, nil
-	}
-	if first.written != nil {
-		first.written()
-	}
-	c.queue = c.queue[1:]
-	return true, nil
-}
-
 // watch asks epoll for what the connection waits for: input and the peer's end, until that has come, and room for
 // output. Input is waited for also when the peer leaves ours unread: it may take back what it asked for, or leave.
 func (c *Conn) watch() {
@@ -445,47 +288,3 @@
 	}
 	c.events = events
 }
-
-// Dial starts a connection. Output may be queued at once; it is written when the connection is up. One that is
-// not up within timeout has failed.
-func (l *Loop) Dial(addr netip.AddrPort, timeout time.Duration, h Handler) (*Conn, error) {
-	fd, err := socket(addr)
-	if err != nil {
-		return nil, err
-	}
-	c := &Conn{loop: l, fd: fd, handler: h, events: unix.EPOLLOUT, since: l.now, heard: l.now, wrote: l.now}
-	err = unix.Connect(fd, sockaddr(addr))
-	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
-		unix.Close(fd) //nolint:errcheck // the connect's error is what counts
-		return nil, fmt.Errorf("%w: connect %s: %w", ErrConnect, addr, err)
-	}
-	if err := l.add(fd, c.events, c); err != nil {
-		unix.Close(fd) //nolint:errcheck // as above
-		return nil, err
-	}
-	c.timeout = l.At(l.now+timeout, func() { c.fail(errors.New("connect timed out")) })
-	return c, nil
-}
-
-func socket(addr netip.AddrPort) (int, error) {
-	family := unix.AF_INET
-	if addr.Addr().Is6() {
-		family = unix.AF_INET6
-	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return -1, fmt.Errorf("socket: %w", err)
-	}
-	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
-		unix.Close(fd) //nolint:errcheck // the first error is what counts
-		return -1, fmt.Errorf("setsockopt: %w", err)
-	}
-	return fd, nil
-}
-
-func sockaddr(addr netip.AddrPort) unix.Sockaddr {
-	if addr.Addr().Is4() {
-		return &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
-	}
-	return &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
-}
--- /dev/null
+++ b/internal/net/dial.go
@@ -0,0 +1,72 @@
+package net
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// connected looks at how a connect ended.
+func (c *Conn) connected() {
+	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	if _, err := unix.Getpeername(c.fd); err != nil {
+		return // not yet
+	}
+	c.loop.Stop(c.timeout)
+	c.up, c.heard, c.wrote, c.took = true, c.loop.now, c.loop.now, c.Age()
+	c.scheduleFlush()
+}
+
+// Dial starts a connection. Output may be queued at once; it is written when the connection is up. One that is
+// not up within timeout has failed.
+func (l *Loop) Dial(addr netip.AddrPort, timeout time.Duration, h Handler) (*Conn, error) {
+	fd, err := socket(addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{loop: l, fd: fd, handler: h, events: unix.EPOLLOUT, since: l.now, heard: l.now, wrote: l.now}
+	err = unix.Connect(fd, sockaddr(addr))
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		unix.Close(fd) //nolint:errcheck // the connect's error is what counts
+		return nil, fmt.Errorf("%w: connect %s: %w", ErrConnect, addr, err)
+	}
+	if err := l.add(fd, c.events, c); err != nil {
+		unix.Close(fd) //nolint:errcheck // as above
+		return nil, err
+	}
+	c.timeout = l.At(l.now+timeout, func() { c.fail(errors.New("connect timed out")) })
+	return c, nil
+}
+
+func socket(addr netip.AddrPort) (int, error) {
+	family := unix.AF_INET
+	if addr.Addr().Is6() {
+		family = unix.AF_INET6
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("socket: %w", err)
+	}
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
+		unix.Close(fd) //nolint:errcheck // the first error is what counts
+		return -1, fmt.Errorf("setsockopt: %w", err)
+	}
+	return fd, nil
+}
+
+func sockaddr(addr netip.AddrPort) unix.Sockaddr {
+	if addr.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
+}
--- /dev/null
+++ b/internal/proxy/client.go
@@ -0,0 +1,265 @@
+package proxy
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"cloverdoor/internal/fastcgi"
+	"cloverdoor/internal/net"
+)
+
+// clientConn is one connection of a client.
+type clientConn struct {
+	front   *Front
+	conn    *net.Conn
+	decoder fastcgi.Decoder
+	open    map[uint16]int64 // the proxy's number of each open request
+	partial int              // bytes of requests that have not come whole
+	last    bool             // the client asked for no further request on it
+	parked  []parked         // requests that wait until the client has read more
+	goneBy  net.Clock        // from when on nothing begins for a client that has left; 0: it has not
+
+	asked    int       // requests that came whole
+	owes     net.Clock // since when the client owes its first request, or the rest of one; 0: it does not
+	answered net.Clock // when it last got an answer
+}
+
+// idle is how long nothing has come or gone.
+func (c *clientConn) idle() time.Duration {
+	return c.front.p.loop.Now() - max(c.conn.Heard(), c.answered)
+}
+
+// midRequest says whether a request has come in part.
+func (c *clientConn) midRequest() bool { return c.conn.Pending() > 0 || c.decoder.Receiving() }
+
+// evictable says whether a connection may be closed to make room for another.
+func (c *clientConn) evictable() bool {
+	bytes, _ := c.conn.Backlog()
+	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() {
+		return false
+	}
+	return c.idle() > [...]time.Duration{evictSilentAfter, evictIdleAfter, evictPartialAfter}[c.evictionRank()]
+}
+
+// evictBefore compares evictable connections: those that have said nothing go first, those in the middle of a request last.
+func (c *clientConn) evictBefore(other *clientConn) bool {
+	if a, b := c.evictionRank(), other.evictionRank(); a != b {
+		return a < b
+	}
+	return c.idle() > other.idle()
+}
+
+func (c *clientConn) evictionRank() int {
+	switch {
+	case c.midRequest():
+		return 2
+	case c.asked > 0:
+		return 1
+	}
+	return 0
+}
+
+// Receive takes whole records off what has come in.
+func (c *clientConn) Receive(data []byte) (used int, err error) {
+	asked := c.asked
+	used, err = c.records(data)
+	c.recount()
+	switch unfinished := used < len(data) || c.decoder.Receiving(); {
+	case !unfinished && c.asked > 0:
+		c.owes = 0
+	case c.owes == 0 || c.asked > asked:
+		c.owes = c.front.p.loop.Now()
+	}
+	if err == nil && c.front.p.held() > 2*c.front.p.mostHeld {
+		err = errFull // unfinished requests can't be refused one by one
+	}
+	return used, err
+}
+
+// count keeps the proxy's sum of unfinished requests. A connection may be closed while what it brought is being
+// taken: counted afterwards, it would stay in the sum for good, and the front would refuse more and more.
+func (c *clientConn) count(held int) {
+	if c.open == nil {
+		held = 0
+	}
+	c.front.p.partial += held - c.partial
+	c.partial = held
+}
+
+func (c *clientConn) recount() {
+	held := c.decoder.Held()
+	for _, r := range c.parked {
+		held += len(r.request.Body)
+	}
+	c.count(held)
+}
+
+func (c *clientConn) records(data []byte) (used int, err error) {
+	for !c.conn.Ended() {
+		n, ev, err := c.decoder.Decode(data[used:])
+		if n == 0 || err != nil {
+			return used, err
+		}
+		used += n
+		switch ev := ev.(type) {
+		case *fastcgi.Request:
+			c.request(ev)
+		case fastcgi.Abort:
+			c.abort(ev.ID)
+		case fastcgi.Reply:
+			c.conn.Write(ev.Data)
+			c.last = c.last || ev.Close
+			c.closeIfLast()
+		}
+	}
+	return len(data), nil
+}
+
+// Closed gives up what was open on the connection.
+func (c *clientConn) Closed(error) {
+	delete(c.front.conns, c)
+	for _, number := range c.open {
+		c.front.p.Abandon(number)
+	}
+	c.open, c.parked = nil, nil
+	delete(c.front.parking, c)
+	c.count(0)
+}
+
+// PeerClosing notes that the client sends no more. It has closed, most likely, and nothing must begin for it long after. It
+// may also wait for its answers all the same: it gets what can be had at once.
+func (c *clientConn) PeerClosing(after net.Clock) {
+	c.goneBy = max(1, after+goneAfter)
+	c.front.p.loop.At(c.goneBy, c.giveUp)
+}
+
+func (c *clientConn) gone() bool { return c.goneBy != 0 && c.front.p.loop.Now() >= c.goneBy }
+
+// giveUp ends what is open for a client that has left.
+func (c *clientConn) giveUp() {
+	c.refuseParked(math.MaxInt64)
+	for _, number := range c.open {
+		c.front.p.GiveUp(number)
+	}
+}
+
+// PeerClosed says whether the client is still owed something; it is closed when it is not any more.
+func (c *clientConn) PeerClosed() (owed bool) {
+	c.last = true
+	if bytes, _ := c.conn.Backlog(); len(c.open) == 0 && bytes == 0 {
+		return false
+	}
+	if len(c.open) == 0 {
+		c.conn.CloseFlushed()
+	}
+	return true
+}
+
+// parked is a request of a client that leaves its answers unread. It is not served yet, but known: its client may take
+// it back, or leave.
+type parked struct {
+	request *fastcgi.Request
+	in      Request
+	at      net.Clock
+}
+
+func (c *clientConn) park(r *fastcgi.Request, in Request) {
+	c.open[r.ID] = 0
+	c.parked = append(c.parked, parked{r, in, c.front.p.loop.Now()})
+	c.front.parking[c] = true
+}
+
+// refuseParked refuses the parked requests that have waited for half of their time: later, a refusal costs more.
+func (c *clientConn) refuseParked(now net.Clock) {
+	for len(c.parked) > 0 && now-c.parked[0].at >= c.parked[0].in.Wait/2 {
+		r := c.unpark()
+		c.front.p.turnAway(r.in, &responder{conn: c, id: r.request.ID}, Answer{Status: Refused, ComeBack: goneIn})
+	}
+}
+
+func (c *clientConn) unpark() parked {
+	r := c.parked[0]
+	if c.parked = c.parked[1:]; len(c.parked) == 0 {
+		delete(c.front.parking, c)
+	}
+	c.recount()
+	return r
+}
+
+func (c *clientConn) full() bool {
+	bytes, _ := c.conn.Backlog()
+	return bytes >= backpressureAt
+}
+
+func (c *clientConn) request(r *fastcgi.Request) {
+	c.asked++
+	c.last = c.last || !r.KeepConn
+	to := &responder{conn: c, id: r.ID}
+	if r.Script == healthPath {
+		status := 503
+		if c.front.p.Phase() == Serving {
+			status = 200
+		}
+		to.write(fastcgi.Response{Status: status})
+		return
+	}
+	in, err := c.front.parse(r)
+	switch {
+	case err != nil:
+		to.write(fastcgi.Response{Status: 400, Body: []byte(err.Error() + "\n")})
+	case c.gone(), c.front.p.late():
+		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
+	case c.full(), len(c.parked) > 0:
+		c.park(r, in)
+	default:
+		in.Wait -= c.front.p.loop.Stalled(longestNap) // its client has been waiting for it
+		c.serve(in, to)
+	}
+}
+
+// serve takes on a request. One whose time is over already is refused: no answer would come in time.
+func (c *clientConn) serve(in Request, to *responder) {
+	if in.Wait <= 0 {
+		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
+		return
+	}
+	c.open[to.id] = 0 // Submit may answer at once, which takes it out again
+	if number := c.front.p.Submit(in, to); number != 0 {
+		c.open[to.id] = number
+	}
+}
+
+// abort ends a request that its client gave up. FastCGI wants END_REQUEST for it, as the number is in use
+// until then; there is no other answer.
+func (c *clientConn) abort(id uint16) {
+	if c.parked = slices.DeleteFunc(c.parked, func(r parked) bool { return r.request.ID == id }); len(c.parked) == 0 {
+		delete(c.front.parking, c)
+	}
+	c.front.p.Abandon(c.open[id])
+	c.done(id, fastcgi.AppendEnd(nil, id, 1, fastcgi.Complete))
+}
+
+// done writes the last bytes of a request and frees its number.
+func (c *clientConn) done(id uint16, data []byte) {
+	delete(c.open, id)
+	c.answered = c.front.p.loop.Now()
+	c.decoder.Done(id)
+	c.conn.Write(data)
+	c.closeIfLast()
+}
+
+// closeIfLast closes a connection that its client wants to be closed, once it is empty.
+func (c *clientConn) closeIfLast() {
+	if c.last && c.empty() {
+		c.conn.CloseFlushed()
+	}
+}
+
+// empty says that no request is open.
+func (c *clientConn) empty() bool { return len(c.open) == 0 && !c.decoder.Busy() }
+
+// asking says that the client has just connected, or has begun a record: what it asks would be lost by a close.
+func (c *clientConn) asking() bool {
+	return c.owes != 0 && c.front.p.loop.Now()-c.owes <= evictPartialAfter
+}
--- /dev/null
+++ b/internal/proxy/fields.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"cloverdoor/internal/fastcgi"
+)
+
+// parse decodes the fields of a request.
+func (f *Front) parse(r *fastcgi.Request) (Request, error) {
+	name, ok := strings.CutPrefix(r.Script, opsPath)
+	class, known := f.p.class[name]
+	if !ok || !known {
+		return Request{}, fmt.Errorf("no such operation: %q", r.Script)
+	}
+	in := Request{
+		ID: r.Params["HTTP_REQ_ID"], Class: class, Name: name, Object: r.Params["HTTP_REQ_KEY"], Body: r.Body,
+	}
+	if !isHex(in.ID) || !isHex(in.Object) {
+		return Request{}, errors.New("Req-Id and Req-Key must be 16 hex digits")
+	}
+	wait, err1 := number(r.Params["HTTP_REQ_WAIT_MS"], 1, 600_000)
+	part, err2 := number(r.Params["HTTP_X_PIECE"], 0, 1<<31)
+	group, err3 := number(r.Params["HTTP_X_LOT"], 0, 255)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return Request{}, fmt.Errorf("Req-Wait-Ms, X-Piece or X-Lot: %w", err)
+	}
+	if in.Token = r.Params["HTTP_REQ_TOKEN"]; !isToken(in.Token) {
+		return Request{}, errors.New("Req-Token must be up to 64 letters, digits and -._~")
+	}
+	in.Wait, in.Part, in.Group = time.Duration(wait)*time.Millisecond, part, group
+	if tag := r.Params["HTTP_X_VER"]; isHex(tag) {
+		in.Version = tag // any other could not be passed on; the whole object is always right
+	}
+	return in, nil
+}
+
+// isHex reports 16 hex digits: what may pass on into the fields of a call.
+func isHex(s string) bool {
+	return len(s) == 16 && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
+// isToken reports what may pass on as an idempotency key, or none.
+func isToken(s string) bool {
+	return len(s) <= 64 && strings.Trim(s, "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-._~") == ""
+}
+
+// number reads a canonical decimal, so that passing it on as a number leaves it unchanged.
+func number(s string, least, most int) (int, error) {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return 0, err
+	}
+	if n < least || n > most || strconv.Itoa(n) != s {
+		return 0, fmt.Errorf("%q is out of range", s)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/proxy/responder.go
@@ -0,0 +1,47 @@
+package proxy
+
+import (
+	"strconv"
+
+	"cloverdoor/internal/fastcgi"
+)
+
+// responder takes one answer to its client.
+type responder struct {
+	conn *clientConn
+	id   uint16
+}
+
+// Respond encodes the answer.
+func (r *responder) Respond(a Answer) {
+	switch a.Status {
+	case Served:
+		r.write(fastcgi.Response{Status: 200, Headers: tagHeader(a.Tag), Body: a.Body})
+	case Unchanged:
+		r.write(fastcgi.Response{Status: 200, Headers: append(tagHeader(a.Tag), [2]string{"X-Unchanged", "1"})})
+	case Refused:
+		var headers [][2]string
+		if ms := a.ComeBack.Milliseconds(); ms > 0 {
+			headers = [][2]string{{"Srv-Wait-Ms", strconv.FormatInt(ms, 10)}}
+		}
+		r.write(fastcgi.Response{Status: 503, Headers: headers})
+	case Overloaded:
+		r.conn.done(r.id, fastcgi.AppendEnd(nil, r.id, 0, fastcgi.Overloaded))
+	default:
+		r.write(fastcgi.Response{Status: 502})
+	}
+}
+
+func (r *responder) write(resp fastcgi.Response) {
+	if r.conn.conn.Ended() {
+		return
+	}
+	// Clients that leave their answers unread must not use up the memory: the one with a backlog loses its
+	// connection, which tells it that the answer is not whole.
+	if n, _ := r.conn.conn.Backlog(); n > 0 && r.conn.front.p.held() > 2*r.conn.front.p.mostHeld {
+		r.conn.conn.Close()
+		r.conn.Closed(errFull)
+		return
+	}
+	r.conn.done(r.id, fastcgi.AppendResponse(make([]byte, 0, len(resp.Body)+256), r.id, resp))
+}
--- /dev/null
+++ b/policy/coldbudget_test.go
@@ -0,0 +1,151 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// A cold cache gets no more than its budget.
+func TestColdCacheBudget(t *testing.T) {
+	g := newRig(t)
+	home := g.serve(1, "x", NoteFilled).Target
+	g.do(MemberList{Members: []Member{{ID: home, State: Ready, Zone: 1, Weight: 5, Started: g.n}}})
+	sent := 0
+	for i := int64(2); i < 60; i++ {
+		if f := fetchOf(g.request(i, "x", 0)); f != nil && f.Target == home {
+			sent++
+		}
+	}
+	// 0.1 s each; 2 times a fifth of 5 transfers for 2 s is 4 s of sending.
+	if sent == 0 || float64(sent)*0.1 > 4 {
+		t.Fatalf("%d sent to a cold cache", sent)
+	}
+}
+
+// A parent whose size is not told does not grow with the number of routers: the cold budgets of all of them
+// together stay inside what it can bear. Incident iddf016.
+func TestColdParentBudgetOfAllRouters(t *testing.T) {
+	set := world()
+	set.Instances, set.RoutersInZone, set.WeightsTold = 100, 5, false
+	sent := 0
+	for i := range set.Instances {
+		g := &rig{t: t, r: New(set, uint64(i)), n: time.Hour}
+		list := everybody()
+		list.Members[3].Started, list.Members[4].State = g.n, Gone
+		g.do(list)
+		for id := int64(1); id < 20; id++ {
+			if f := fetchOf(g.request(id, string(rune('a'+id)), 0)); f != nil && f.Source == "p" {
+				sent++
+			}
+		}
+	}
+	// 0.1 s each; three caches of unknownCap transfers draw 6, a tenth of them cold, twice that for 2 s.
+	if most := fillShare * 3 * defaultCapacity * 0.1 * 2 * 2; float64(sent)*0.1 > most {
+		t.Fatalf("%d sent to a cold parent by 100 routers", sent)
+	}
+}
+
+// fleet is many routers that are asked all the time for what lies at one cold member.
+type fleet struct {
+	set     Settings
+	list    MemberList
+	routers []*Router
+	now     time.Duration
+	sent    []time.Duration // when the cold member was sent something
+}
+
+func (f *fleet) start(i int) {
+	set := f.set
+	set.Index = i
+	f.routers[i] = New(set, uint64(i))
+	f.routers[i].Handle(f.now, f.list)
+}
+
+// ask has each router asked for as many objects as it may take, and answers nothing: every one of 0.1 s.
+func (f *fleet) ask(cold string, id int64) {
+	for _, r := range f.routers {
+		for n := range int64(8) {
+			q := Request{ID: id<<8 + n, Object: string(rune('a' + n)), Class: 0, SizeKB: 100, Left: 3 * time.Second}
+			if got := fetchOf(r.Handle(f.now, q)); got != nil && (got.Target == cold || got.Source == cold) {
+				f.sent = append(f.sent, f.now)
+			}
+			r.Handle(f.now, ClientGone{q.ID})
+			for i := range 2 {
+				r.Handle(f.now, Outcome{ID: q.ID, Attempt: i, Result: ResultCancelled, Finished: true})
+			}
+		}
+	}
+}
+
+// most is the largest number sent in a window beyond what is allowed at its end: N + 2 x root of N + 2.
+func (f *fleet) most(allowed func(at time.Duration) float64, window time.Duration) (over float64) {
+	over = math.Inf(-1)
+	for i, at := range f.sent {
+		n := 0
+		for _, earlier := range f.sent[:i+1] {
+			if at-earlier < window {
+				n++
+			}
+		}
+		bears := allowed(at)
+		over = max(over, float64(n)-(bears+2*math.Sqrt(bears)+2))
+	}
+	return over
+}
+
+// However many routers there are, a cold member gets some work and all of them together push it no further than it
+// surely bears: also when it is told late, settings come anew, and routers restart and forget what they sent.
+func TestColdBudgetOfAFleet(t *testing.T) {
+	for _, routers := range []int{3, 20, 300} {
+		for _, cold := range []string{"a", "p"} {
+			f := &fleet{set: world(), list: everybody(), routers: make([]*Router, routers), now: time.Hour}
+			f.set.Instances, f.set.RoutersInZone = routers, routers
+			share, within, weight := f.set.ColdShare, f.set.WarmWithin, 5.0
+			if cold == "p" {
+				share, within, weight = f.set.ParentColdShare, f.set.ParentWarmWithin, 20
+			}
+			for i := range f.routers {
+				f.start(i)
+			}
+			started, window := f.now+time.Second, f.set.FallWindow
+			for i := range f.list.Members {
+				m := &f.list.Members[i]
+				m.Started = time.Duration(0)
+				if m.ID == cold {
+					m.Started = started
+				} else if m.Kind == 0 && cold == "a" || m.Kind == 1 && cold == "p" {
+					m.State = Gone
+				}
+			}
+			for tick := int64(0); f.now < started+within-time.Second; tick++ {
+				f.now += 100 * ms
+				switch at := f.now - time.Hour; {
+				case at == 2*time.Second: // told a second late
+					for _, r := range f.routers {
+						r.Handle(f.now, f.list)
+					}
+				case at == 4*time.Second:
+					for i, r := range f.routers {
+						set := f.set
+						set.Index = i
+						r.Handle(f.now, set)
+					}
+				case at == 6*time.Second: // seven in ten are killed at once
+					for i := range routers * 7 / 10 {
+						f.start(i)
+					}
+				}
+				if f.now >= time.Hour+2*time.Second {
+					f.ask(cold, tick+1)
+				}
+			}
+			over := f.most(func(at time.Duration) float64 {
+				return 2 * weight * (share + (1-share)*float64(at-started)/float64(within)) * window.Seconds() / 0.1
+			}, window)
+			if len(f.sent) == 0 || over > 0 {
+				t.Errorf("%d routers sent %d to %s, %.1f too many at most", routers, len(f.sent), cold, over)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/policy/health_test.go
@@ -0,0 +1,136 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// A cache that fails what others answer is left alone, and comes back by a good answer. A request that fails
+// wherever it goes is given up, and no cache is suspected for it.
+func TestFailuresCountOnceOthersAnswer(t *testing.T) {
+	g := newRig(t)
+	home := g.serve(1, "x", NoteFilled).Target
+	for id := int64(2); id < 4; id++ {
+		if f := fetchOf(g.request(id, "x", 0)); f.Target != home {
+			t.Fatalf("request %d goes to %s, not %s", id, f.Target, home)
+		}
+		f := fetchOf(g.do(Outcome{ID: id, Result: ResultError, Took: ms}))
+		if f == nil || f.Target != home {
+			t.Fatalf("after one error want %s again, got %+v", home, f)
+		}
+		f = fetchOf(g.do(Outcome{ID: id, Attempt: 1, Result: ResultError, Took: ms}))
+		if f == nil || f.Target == home {
+			t.Fatalf("after a second error: %+v", f)
+		}
+		g.do(Outcome{ID: id, Attempt: 2, Result: ResultOK, Note: NoteFilled, Took: 150 * ms, Finished: true})
+	}
+	f := fetchOf(g.request(4, "x", 0))
+	if f.Target == home {
+		t.Fatalf("%s failed two requests that others answered, and gets a third", home)
+	}
+	g.do(Outcome{ID: 4, Result: ResultOK, Note: NoteHit, Took: 100 * ms, Finished: true})
+	g.n += firstSuspicion
+	g.serve(5, "x", NoteHit)
+	if !g.r.healthy(g.r.members[home]) {
+		t.Fatal("a good answer must bring it back")
+	}
+
+	g.request(6, "y", 0)
+	attempts, acts := 1, []Action(nil)
+	for ; finals(acts) == 0; attempts++ {
+		acts = g.do(Outcome{ID: 6, Attempt: attempts - 1, Result: ResultError, Took: ms})
+	}
+	if attempts-1 != maxFailures {
+		t.Errorf("%d attempts", attempts-1)
+	}
+	for id, m := range g.r.members {
+		if !g.r.healthy(m) {
+			t.Errorf("%s is suspected for a request that no cache can use", id)
+		}
+	}
+}
+
+// A refusing origin lowers its limit: further misses ask the parent only for what it holds.
+func TestOriginLimitFalls(t *testing.T) {
+	g := newRig(t)
+	for i := int64(1); i < 8; i++ {
+		if fetchOf(g.request(i, string(rune('a'+i)), 0)).HeldOnly {
+			t.Fatal("the limit is reached before any failure")
+		}
+	}
+	g.do(Outcome{ID: 1, Result: ResultError, Note: NoteOriginFailed, Took: 20 * ms})
+	if f := fetchOf(g.request(20, "new", 0)); f == nil || !f.HeldOnly {
+		t.Fatalf("the origin failed and is asked on: %+v", f)
+	}
+}
+
+// An answer that waited at the origin for longer than the aim lowers the limit as well. Incident i058414.
+func TestSlowOriginLowersLimit(t *testing.T) {
+	g := newRig(t)
+	for i := int64(1); i < 8; i++ {
+		g.request(i, string(rune('a'+i)), 0)
+	}
+	before := g.r.originLimiter.limit
+	g.n += 700 * ms
+	g.do(Outcome{ID: 1, Result: ResultOK, Note: NoteFilledByOrigin, Took: 700 * ms, SourceWait: 600 * ms,
+		Finished: true})
+	if g.r.originLimiter.limit >= before {
+		t.Fatalf("limit %v after a slow answer, %v before", g.r.originLimiter.limit, before)
+	}
+	after := g.r.originLimiter.limit
+	g.do(Outcome{ID: 2, Result: ResultOK, Note: NoteFilledByOrigin, Took: 700 * ms, SourceWait: 50 * ms,
+		Finished: true})
+	if g.r.originLimiter.limit <= after {
+		t.Fatal("a quick answer of the origin must raise the limit")
+	}
+}
+
+// A parent that keeps failing is trusted again one doubt for each answer, not all at once. Incident ia695e1.
+func TestTrustComesBackSlowly(t *testing.T) {
+	g := newRig(t)
+	m := g.r.members["p"]
+	for i := 0; i < 3; i++ {
+		m.markSuspect(g.n)
+		g.n = m.suspectUntil
+	}
+	m.markHealthy(g.n)
+	m.link.inFlight = []*attempt{{request: &request{}}}
+	if g.r.healthy(m) {
+		t.Fatal("one good answer after three doubts must not bring full trust")
+	}
+	m.markHealthy(g.n)
+	m.markHealthy(g.n)
+	if !g.r.healthy(m) {
+		t.Fatal("three good answers must")
+	}
+}
+
+// With many routers one attempt of each is too much for a failing origin: the limit falls under one, down to this
+// router's part, and opens again. With few routers one is always let through. Incident ic689c2.
+func TestLimitFallsUnderOneWithManyRouters(t *testing.T) {
+	for _, c := range []struct {
+		instances int
+		below     bool
+	}{{300, true}, {1, false}} {
+		set := world()
+		set.Instances = c.instances
+		g := &rig{t: t, r: New(set, 1), n: time.Hour}
+		g.do(everybody())
+		for id := int64(1); id < 20; id++ {
+			g.request(id, string(rune('a'+id)), 0)
+			g.n += 200 * ms
+			g.do(Outcome{ID: id, Result: ResultError, Note: NoteOriginFailed, Took: 20 * ms})
+		}
+		shut := g.r.originLimiter.limit
+		if (shut < 1) != c.below || shut <= 0 {
+			t.Fatalf("%d routers: the limit is %v", c.instances, shut)
+		}
+		a := &attempt{request: &request{class: &set.Classes[0]}, source: g.r.members["p"], target: g.r.members["a"]}
+		for range 20 {
+			g.r.observeOrigin(a, Outcome{Result: ResultOK, Note: NoteFilledByOrigin})
+		}
+		if g.r.originLimiter.limit < shut+1 {
+			t.Fatalf("%d routers: answers raised the limit from %v to %v only", c.instances, shut, g.r.originLimiter.limit)
+		}
+	}
+}
--- /dev/null
+++ b/policy/placement_test.go
@@ -0,0 +1,138 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+func TestSameObjectSameCacheAndParent(t *testing.T) {
+	g := newRig(t)
+	first := g.serve(1, "x", NoteFilled)
+	second := g.serve(2, "x", NoteHit)
+	if first.Target != second.Target || first.Source != second.Source {
+		t.Fatalf("%+v then %+v", first, second)
+	}
+	if first.Source != "p" && first.Source != "q" {
+		t.Fatalf("a miss nobody is expected to hold is filled from %q, not a parent", first.Source)
+	}
+}
+
+// A cache that drains hands its objects to the next in hash order, which fills from it no more.
+func TestDrainedIsNeitherTargetNorSource(t *testing.T) {
+	g := newRig(t)
+	home := g.serve(1, "x", NoteFilled).Target
+	g.do(MemberList{Members: []Member{{ID: home, State: Draining, Zone: 1, Weight: 5}}})
+	f := fetchOf(g.request(2, "x", 0))
+	if f.Target == home || f.Source == home {
+		t.Fatalf("%s drains and is used: %+v", home, f)
+	}
+}
+
+// With every cache of the zone suspect a request goes straight to a parent.
+func TestDeadZoneGoesToParent(t *testing.T) {
+	g := newRig(t)
+	for _, id := range []string{"a", "b", "c"} {
+		g.r.members[id].markSuspect(g.n)
+	}
+	if f := fetchOf(g.request(1, "x", 0)); f.Target != "p" && f.Target != "q" || f.Source != "o" {
+		t.Fatalf("%+v", f)
+	}
+}
+
+// Routers rank siblings alike: one whose link is full is not asked to fill too.
+func TestHerdingGuard(t *testing.T) {
+	g := newRig(t)
+	r := g.r
+	req := &request{Request: Request{Object: "x"}, class: &r.settings.Classes[0], key: 7, work: 0.1, aim: g.n + 500*ms}
+	holder := r.members["b"]
+	r.recordCopy(holder, req, true)
+	if r.chooseSibling(req, r.members["a"]) != holder {
+		t.Fatal("an idle holder is named")
+	}
+	for i := 0; i < 30; i++ {
+		holder.link.inFlight = append(holder.link.inFlight, &attempt{request: req, target: holder})
+	}
+	if s := r.chooseSibling(req, r.members["a"]); s != nil {
+		t.Fatalf("%s is full and is named", s.ID)
+	}
+}
+
+// A cache with too many bytes under way is passed over for the next in hash order (bounded load).
+func TestBoundedLoadPassesOver(t *testing.T) {
+	g := newRig(t)
+	home := g.serve(1, "x", NoteFilled).Target
+	m := g.r.members[home]
+	for i := 0; i < 40; i++ {
+		m.link.inFlight = append(m.link.inFlight, &attempt{request: &request{work: 0.1}, target: m})
+	}
+	if f := fetchOf(g.request(2, "x", 0)); f == nil || f.Target == home {
+		t.Fatalf("%s is full: %+v", home, f)
+	}
+}
+
+// A parent at the own hub is asked far more than one further off; a lost hub still fails over to others.
+func TestNearParentsFirst(t *testing.T) {
+	for _, c := range []struct {
+		hubs       []int
+		near, most int
+	}{{[]int{0, 0, 2}, 60, 100}, {nil, 20, 80}, {[]int{-7, 0, 99}, 0, 100}, {[]int{0}, 20, 80}} {
+		set := world()
+		set.ZoneHubs = c.hubs
+		g := &rig{t: t, r: New(set, 1), n: time.Hour}
+		list := everybody()
+		list.Members[4].Zone = 2
+		g.do(list)
+		near := 0
+		for i := range 100 {
+			req := &request{Request: Request{Object: "x"}, class: &g.r.settings.Classes[0], key: mixHash(uint64(i)), work: 0.1,
+				aim: g.n + time.Second}
+			if g.r.chooseParent(req).ID == "p" {
+				near++
+			}
+		}
+		if near < c.near || near > c.most {
+			t.Errorf("hubs %v: %d of 100 from the near parent", c.hubs, near)
+		}
+		g.do(MemberList{Members: []Member{{ID: "p", State: Gone, Kind: 1}}})
+		if f := fetchOf(g.request(1, "x", 0)); f.Source != "q" {
+			t.Errorf("hubs %v: with the near hub lost %q fills", c.hubs, f.Source)
+		}
+	}
+}
+
+// A parent whose fills last several times as long as their bytes explain is slow, with few transfers under way too:
+// the others take over what it would make late, nothing is refused, and it is tried again after a while.
+func TestSlowParentIsPassedOver(t *testing.T) {
+	g, object, id := newRig(t), "", int64(0)
+	fill := func() string {
+		id++
+		f := fetchOf(g.do(Request{ID: id, Object: object, Left: 6 * time.Second}))
+		if f == nil {
+			t.Fatalf("request %d was not sent", id)
+		}
+		took := 200 * ms
+		if f.Source == "p" {
+			took = 900 * ms
+		}
+		g.n += 100 * ms
+		g.do(Outcome{ID: id, Result: ResultOK, Note: NoteFilled, Took: took, Sending: 200 * ms, Finished: true})
+		g.do(Purge{Object: object}) // so that no sibling is expected to hold it
+		return f.Source
+	}
+	for object = "x"; fill() != "p"; { // one that hashing fills from p
+		object += "x"
+	}
+	for range 5 {
+		fill()
+	}
+	if got := fill(); got != "q" {
+		t.Errorf("filled from %s, which takes four times as long", got)
+	}
+	if g.r.zoneLink.capacity != g.r.zoneLink.nominal {
+		t.Errorf("the link is held to be congested: %v of %v", g.r.zoneLink.capacity, g.r.zoneLink.nominal)
+	}
+	g.n += 6 * slowdownMemory
+	if got := fill(); got != "p" {
+		t.Errorf("%s: the slow one is not tried again", got)
+	}
+}
--- /dev/null
+++ b/policy/rig_test.go
@@ -0,0 +1,83 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// world is a small deployment: three caches, two parents and an origin, one class of each effect.
+func world() Settings {
+	return Settings{
+		Zone: 1, ParentKind: 1, OriginKind: 2, Instances: 1, RoutersInZone: 1, WeightsTold: true,
+		FlowKBps: 1000, ZoneLink: 100, Direct: true, CanJoin: true, Siblings: SiblingsZone,
+		Classes: []Class{
+			{Effect: Safe, Aim: 500 * ms, AimStretch: 2, Worth: 1},
+			{Effect: Safe, Aim: 500 * ms, AimStretch: 2, Worth: 1,
+				Fresh: 8 * time.Second, Grace: 10 * time.Second},
+			{Effect: Unsafe, Aim: 500 * ms, Worth: 3, PassOn: true},
+		},
+		MaxAttempts: 6, MayCancel: true, MaxComeBack: time.Second,
+		ColdShare: 0.2, WarmWithin: 10 * time.Second, FallMultiple: 2, FallWindow: 2 * time.Second,
+		ParentColdShare: 0.1, ParentWarmWithin: 20 * time.Second, ParentFallMultiple: 2,
+		PurgeGrace: 500 * ms, ClearedWithin: 6 * time.Second,
+	}
+}
+
+func everybody() MemberList {
+	return MemberList{Whole: true, Members: []Member{
+		{ID: "a", State: Ready, Zone: 1, Weight: 5}, {ID: "b", State: Ready, Zone: 1, Weight: 5},
+		{ID: "c", State: Ready, Zone: 1, Weight: 5},
+		{ID: "p", State: Ready, Kind: 1, Weight: 20}, {ID: "q", State: Ready, Kind: 1, Weight: 20},
+		{ID: "o", State: Ready, Kind: 2},
+	}}
+}
+
+// rig drives a router by hand.
+type rig struct {
+	t *testing.T
+	r *Router
+	n time.Duration
+}
+
+func newRig(t *testing.T) *rig {
+	g := &rig{t: t, r: New(world(), 1), n: time.Hour}
+	g.do(everybody())
+	return g
+}
+
+func (g *rig) do(ev Event) []Action { return g.r.Handle(g.n, ev) }
+
+func (g *rig) request(id int64, object string, class int) []Action {
+	return g.do(Request{ID: id, Object: object, Class: class, SizeKB: 100, Left: 3 * time.Second})
+}
+
+func fetchOf(acts []Action) *Fetch {
+	for _, a := range acts {
+		if f, ok := a.(Fetch); ok {
+			return &f
+		}
+	}
+	return nil
+}
+
+func finals(acts []Action) (n int) {
+	for _, a := range acts {
+		switch a.(type) {
+		case Refuse, Fail:
+			n++
+		}
+	}
+	return n
+}
+
+func (g *rig) serve(id int64, object string, note Note) Fetch {
+	f := fetchOf(g.request(id, object, 0))
+	if f == nil {
+		g.t.Fatalf("request %d was not sent", id)
+	}
+	g.n += 150 * ms
+	g.do(Outcome{ID: id, Result: ResultOK, Note: note, Took: 150 * ms, SourceWait: 20 * ms, Finished: true})
+	return *f
+}
