--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -71,7 +71,7 @@
 	}
 	c := w.dial()
 	for i, extra := range [][]string{{"HTTP_REQ_ID", "a,b=c"}, {"HTTP_REQ_WAIT_MS", "soon"}, {"HTTP_X_PIECE", "-1"},
-		{"HTTP_X_LOT", "256"}, {"HTTP_REQ_KEY", ""}, {"SCRIPT_NAME", "/ops/none"}, {"SCRIPT_NAME", "/"}} {
+		{"HTTP_X_LOT", "256"}, {"HTTP_REQ_KB", "large"}, {"HTTP_REQ_KB", "NaN"}, {"HTTP_REQ_KEY", ""}, {"SCRIPT_NAME", "/ops/none"}, {"SCRIPT_NAME", "/"}} {
 		c.ask(uint16(i+1), "artes", longWait, 1, "", extra...)
 		if a := receive(t, c.answers, "answer"); a.status != "400" {
 			t.Errorf("%v: %+v", extra, a)
--- a/internal/proxy/fields.go
+++ b/internal/proxy/fields.go
@@ -26,13 +26,14 @@
 	wait, err1 := number(r.Params["HTTP_REQ_WAIT_MS"], 1, 600_000)
 	part, err2 := number(r.Params["HTTP_X_PIECE"], 0, 1<<31)
 	group, err3 := number(r.Params["HTTP_X_LOT"], 0, 255)
-	if err := errors.Join(err1, err2, err3); err != nil {
-		return Request{}, fmt.Errorf("Req-Wait-Ms, X-Piece or X-Lot: %w", err)
+	size, err4 := sizeKB(r.Params["HTTP_REQ_KB"])
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return Request{}, fmt.Errorf("Req-Wait-Ms, X-Piece, X-Lot or Req-Kb: %w", err)
 	}
 	if in.Token = r.Params["HTTP_REQ_TOKEN"]; !isToken(in.Token) {
 		return Request{}, errors.New("Req-Token must be up to 64 letters, digits and -._~")
 	}
-	in.Wait, in.Part, in.Group = time.Duration(wait)*time.Millisecond, part, group
+	in.Wait, in.Part, in.Group, in.SizeKB = time.Duration(wait)*time.Millisecond, part, group, size
 	if tag := r.Params["HTTP_X_VER"]; isHex(tag) {
 		in.Version = tag // any other could not be passed on; the whole object is always right
 	}
@@ -49,6 +50,24 @@
 	return len(s) <= 64 && strings.Trim(s, "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-._~") == ""
 }
 
+// mostSizeKB is the largest size that a client may tell of an object.
+const mostSizeKB = 1e9
+
+// sizeKB reads the size of an object where clients tell it; 0: not told.
+func sizeKB(s string) (float64, error) {
+	if s == "" {
+		return 0, nil
+	}
+	size, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0, err
+	}
+	if !(size >= 0 && size <= mostSizeKB) { // not a number either
+		return 0, fmt.Errorf("%q is out of range", s)
+	}
+	return size, nil
+}
+
 // number reads a canonical decimal, so that passing it on as a number leaves it unchanged.
 func number(s string, least, most int) (int, error) {
 	n, err := strconv.Atoi(s)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -13,6 +13,7 @@
 	Object  string
 	Part    int
 	Group   int
+	SizeKB  float64       // size of the object, by the settings' measure; 0: not told
 	Version string        // tag of the copy that the client holds; empty: none
 	Token   string        // idempotency key, by which caches know a repeat; empty: none
 	Wait    time.Duration // how long the client waits, from its last byte
