Lower the origin's limit also when its bytes come slowly and late

The origin's link is full. Half of the 80 proxies still have their limit at 128: observeOrigin looked at the first byte alone.

Ruled out: the zone's links (estimated at a tenth of what they carry), cold parents (their own copies come at full pace).

Change: an answer of the origin that came after the aim, at more than three times its sending time (unusualFrom), lowers the limit like a late first byte. The test was seen to fail without it.

--- a/policy/coldbudget.go
+++ b/policy/coldbudget.go
@@ -11,7 +11,6 @@
 	turnMargin = 0.33 // share of it that is given out in turns: turns of two windows may meet in one
 )
 
-// coldRules returns the share of capacity at start, the time to be warm and the multiple that is tolerated.
 func (r *Router) coldRules(m *member) (share float64, warmWithin time.Duration, multiple float64) {
 	if m.Kind == r.settings.ParentKind {
 		return r.settings.ParentColdShare, r.settings.ParentWarmWithin, r.settings.ParentFallMultiple
--- a/policy/health.go
+++ b/policy/health.go
@@ -101,11 +101,13 @@
 		r.originLimiter.inFlight--
 	}
 	direct := a.source == r.origin
+	late, sending := r.now > a.request.aim, (o.Took - o.SourceWait).Seconds()
+	slow := late && o.Sending > 0 && sending > unusualFrom*o.Sending.Seconds()
 	switch {
 	case o.Note == NoteOriginFailed, direct && (o.Note == NoteSourceRefused || o.Note == NoteSourceFailed),
 		direct && a.target == r.origin && o.Result == ResultFull:
 		r.originLimiter.decrease(r.now, failureDecrease)
-	case o.Note == NoteFilledByOrigin && o.SourceWait > a.request.class.Aim:
+	case o.Note == NoteFilledByOrigin && (slow || o.SourceWait > a.request.class.Aim):
 		r.originLimiter.decrease(r.now, lateDecrease)
 	case o.Note == NoteFilledByOrigin, direct && o.Result == ResultOK:
 		r.originLimiter.increase()
--- a/policy/health_test.go
+++ b/policy/health_test.go
@@ -134,3 +134,28 @@
 		}
 	}
 }
+
+// An answer whose bytes came late from the origin, many times slower than they could, lowers the limit: its link is full,
+// and its first byte does not tell. One that was slow in time, late for its size, or of unknown size does not.
+func TestSlowBytesOfTheOriginLowerLimit(t *testing.T) {
+	for _, c := range []struct {
+		took, sending time.Duration
+		lowers        bool
+	}{
+		{2 * time.Second, 200 * ms, true},
+		{400 * ms, 50 * ms, false},
+		{2 * time.Second, 1900 * ms, false},
+		{2 * time.Second, 0, false},
+	} {
+		g := newRig(t)
+		for i := int64(1); i < 8; i++ {
+			g.request(i, string(rune('a'+i)), 0)
+		}
+		before := g.r.originLimiter.limit
+		g.n += c.took
+		g.do(Outcome{ID: 1, Result: ResultOK, Note: NoteFilledByOrigin, Took: c.took, SourceWait: 50 * ms, Sending: c.sending, Finished: true})
+		if lowered := g.r.originLimiter.limit < before; lowered != c.lowers {
+			t.Errorf("%+v: limit %v, %v before", c, g.r.originLimiter.limit, before)
+		}
+	}
+}
--- a/policy/source.go
+++ b/policy/source.go
@@ -79,7 +79,6 @@
 		(req.class.Fresh == 0 || r.now-record.filled < req.class.Fresh)
 }
 
-// chooseSource returns the likely holder with the lowest misindication ratio if that pays, else a parent.
 func (r *Router) chooseSource(req *request, target *member) *member {
 	return cmp.Or(r.chooseSibling(req, target), r.chooseParent(req), target)
 }
