--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -117,14 +118,19 @@
 	return nil
 }
 
-// Closed follows the stream anew, after a pause. Its length differs between processes: all of them lose a coordinator
-// at the same time, and would else come back in step.
+// jitter returns between half of a pause and the whole. All processes lose a coordinator at the same time, and would
+// else come back in step.
+func jitter(pause time.Duration, rng *rand.Rand) time.Duration {
+	return pause/2 + time.Duration(rng.Int64N(int64(pause/2)))
+}
+
+// Closed follows the stream anew, after a pause.
 func (f *follower) Closed(err error) {
 	f.conn = nil
 	if f.pause == refollowAfter { // one line for each outage
 		f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
 	}
-	f.again = f.p.loop.At(f.p.loop.Now()+f.pause/2+time.Duration(f.p.rng.Int64N(int64(f.pause/2))), f.connect)
+	f.again = f.p.loop.At(f.p.loop.Now()+jitter(f.pause, f.p.rng), f.connect)
 	f.pause = min(2*f.pause, refollowAtMost)
 }
 
--- /dev/null
+++ b/internal/proxy/coordinator_test.go
@@ -0,0 +1,38 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// A coordinator that is gone for 8 s is called by each of 300 processes again and again. Over all of them the calls come
+// evenly once the first pauses are over: no 20 ms bring more than twice their part. When it is back, all are with it
+// again within the longest pause.
+func TestFleetFollowsAnewEvenly(t *testing.T) {
+	const processes, outage, bin = 300, 8 * time.Second, 20 * time.Millisecond
+	calls := make([]int, outage/bin)
+	all := 0
+	for seed := range uint64(processes) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		pause := refollowAfter
+		for at := jitter(pause, rng); at < outage; at += jitter(pause, rng) {
+			calls[at/bin]++
+			all++
+			pause = min(2*pause, refollowAtMost)
+		}
+	}
+	settled := calls[2*time.Second/bin:]
+	part := float64(all) / float64(len(calls))
+	for i, n := range settled {
+		if float64(n) > 2*part {
+			t.Errorf("%d calls in the %d. 20 ms after the first 2 s, %.1f are its part", n, i, part)
+		}
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	for range 1000 {
+		if d := jitter(refollowAtMost, rng); d < refollowAtMost/2 || d > refollowAtMost {
+			t.Fatalf("a pause of %v", d)
+		}
+	}
+}
--- a/policy/coldbudget_test.go
+++ b/policy/coldbudget_test.go
@@ -97,7 +97,7 @@
 // However many routers there are, a cold member gets some work and all of them together push it no further than it
 // surely bears: also when it is told late, settings come anew, and routers restart and forget what they sent.
 func TestColdBudgetOfAFleet(t *testing.T) {
-	for _, routers := range []int{3, 20, 300} {
+	for _, routers := range []int{3, 20, 30, 300} {
 		for _, cold := range []string{"a", "p"} {
 			f := &fleet{set: world(), list: everybody(), routers: make([]*Router, routers), now: time.Hour}
 			f.set.Instances, f.set.RoutersInZone = routers, routers
