Name the proxy's parts by what they do, and explain guards in plain English

Renames in internal/proxy alone: told and toldServers are applyEvent and applyServers, tell is notify, a request's told is registered, owes is hasOpenWork and, at a client's connection, incompleteSince; most... constants are max.... Comments say what would happen otherwise in place of naming a danger.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -131,8 +131,8 @@
 	c.watch()
 }
 
-// linger closes after a while, though the peer has not closed. The danger: a close over unread bytes resets the
-// connection, and a peer that still takes its answers would lose the rest of them.
+// linger closes after a while, though the peer has not closed: a close over unread bytes resets the connection,
+// and a peer that still takes its answers would lose the rest of them.
 func (c *Conn) linger(end Clock) {
 	c.loop.At(c.loop.now+lingerFor, func() {
 		switch {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -9,9 +9,9 @@
 	"cloverdoor/policy"
 )
 
-// mostMoves is how often a call moves on from a connection that is late: of those that a third are, three in a row are
+// maxReassignments is how often a call moves on from a connection that is late: of those that a third are, three in a row are
 // few.
-const mostMoves = 2
+const maxReassignments = 2
 
 // ageSlack is what the age of a copy may exceed its bound by: both are told in whole milliseconds.
 const ageSlack = 2 * time.Millisecond
@@ -44,11 +44,11 @@
 		p.end(a, resp.Answer{}, policy.ResultConnectFailed)
 		return
 	}
-	a.put(slot, mostMoves)
+	a.put(slot, maxReassignments)
 }
 
 // put queues the call on a connection. While that is late to come up, the call may move on to another: it has not been
-// sent. The danger: some connections come up after a second, when the client's time is over.
+// sent. Some connections come up after a second only, when the client's time is over.
 func (a *attempt) put(slot *net.Slot, moves int) {
 	a.on = slot.Owner.(*upstream)
 	a.on.calls[a.req.ID] = a
@@ -71,8 +71,8 @@
 	})
 }
 
-// sending is a call in the queue of a connection. Only the place where it was put last counts. The danger: one that
-// moves on and comes back to a connection that is up by then is in its queue twice, and would be sent twice.
+// sending is a call in the queue of a connection. Only the place where it was put last counts: one that moves
+// on and comes back to a connection that is up by then is in its queue twice, and would be sent twice.
 type sending struct {
 	*attempt
 	place int
@@ -124,8 +124,8 @@
 	if result == policy.ResultOK && a.tooOld(ans) {
 		result = policy.ResultError
 	}
-	// The danger: the client keeps a copy that nobody has named, and takes it for current. The answer is well formed
-	// all the same: what else is out on the connection is not harmed.
+	// Otherwise the client would take a copy for current that nobody has named. The answer is well formed all the same:
+	// what else is out on the connection is not harmed.
 	if ans.Word == resp.StillGood && (a.req.Version == "" || ans.Tag != a.req.Version) {
 		result = policy.ResultError
 	}
@@ -148,7 +148,7 @@
 	resp.Overload: policy.ResultFull, resp.Crashed: policy.ResultError, resp.Nobody: policy.ResultMoot,
 }
 
-// mustClose says that a call is given up so that another may follow, where no second one may be out. The danger: a
+// mustClose says that a call is given up so that another may follow, where no second one may be out: a
 // server that hangs does not read the STOP; only the end of its connection gives up what is open on it.
 func (p *Proxy) mustClose(a *attempt) bool {
 	return !p.set.Policy.SecondCopies && a.started && !a.req.finished
@@ -178,7 +178,7 @@
 			result = policy.ResultConnectFailed
 		}
 	}
-	p.tell(policy.Outcome{ID: a.req.number, Attempt: a.number, Result: result, Note: policy.Note(ans.Note),
+	p.notify(policy.Outcome{ID: a.req.number, Attempt: a.number, Result: result, Note: policy.Note(ans.Note),
 		Took: p.loop.Now() - a.created, SourceWait: ans.SourceWait, Sending: p.sending(ans), Finished: a.req.finished})
 	p.forget(a.req)
 }
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -19,7 +19,7 @@
 func (deaf) Respond(Answer) {}
 
 // A call that moves on from a late connection and comes back to it, as it is up by then, is in its queue twice: it is
-// sent once all the same. The danger: a write would run twice.
+// sent once all the same. Otherwise a write would run twice.
 func TestCallThatComesBackIsSentOnce(t *testing.T) {
 	ln, err := stdnet.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -20,9 +20,9 @@
 	parked  []parked         // requests that wait until the client has read more
 	goneBy  net.Clock        // from when on nothing begins for a client that has left; 0: it has not
 
-	asked    int       // requests that came whole
-	owes     net.Clock // since when the client owes its first request, or the rest of one; 0: it does not
-	answered net.Clock // when it last got an answer
+	asked           int       // requests that came whole
+	incompleteSince net.Clock // since when the client owes its first request, or the rest of one; 0: it does not
+	answered        net.Clock // when it last got an answer
 }
 
 // idle is how long nothing has come or gone.
@@ -67,11 +67,11 @@
 	c.recount()
 	switch unfinished := used < len(data) || c.decoder.Receiving(); {
 	case !unfinished && c.asked > 0:
-		c.owes = 0
-	case c.owes == 0 || c.asked > asked:
-		c.owes = c.front.p.loop.Now()
+		c.incompleteSince = 0
+	case c.incompleteSince == 0 || c.asked > asked:
+		c.incompleteSince = c.front.p.loop.Now()
 	}
-	if err == nil && c.front.p.held() > 2*c.front.p.mostHeld {
+	if err == nil && c.front.p.held() > 2*c.front.p.maxHeld {
 		err = errFull // unfinished requests can't be refused one by one
 	}
 	return used, err
@@ -261,5 +261,5 @@
 
 // asking says that the client has just connected, or has begun a record: what it asks would be lost by a close.
 func (c *clientConn) asking() bool {
-	return c.owes != 0 && c.front.p.loop.Now()-c.owes <= evictPartialAfter
+	return c.incompleteSince != 0 && c.front.p.loop.Now()-c.incompleteSince <= evictPartialAfter
 }
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -114,7 +114,7 @@
 		return errGap
 	}
 	f.last = ev.Index
-	f.p.told(ev)
+	f.p.applyEvent(ev)
 	return nil
 }
 
@@ -134,18 +134,18 @@
 	f.pause = min(2*f.pause, refollowAtMost)
 }
 
-// told passes one event of the coordinator on to the module and keeps the pools in step with it.
-func (p *Proxy) told(ev feed.Event) {
+// applyEvent passes one event of the coordinator on to the module and keeps the pools in step with it.
+func (p *Proxy) applyEvent(ev feed.Event) {
 	if v := ev.Evict; v != nil {
 		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
 		purge := policy.Purge{Object: v.Object, Age: max(0, time.Since(time.UnixMilli(v.At+1)))}
 		if v.Group != nil {
 			purge.Group = *v.Group
 		}
-		p.tell(purge)
+		p.notify(purge)
 	}
 	if ev.Endpoints != nil {
-		p.toldServers(ev.Endpoints)
+		p.applyServers(ev.Endpoints)
 	}
 }
 
@@ -153,7 +153,7 @@
 	feed.Serving: policy.Ready, feed.Draining: policy.Draining, feed.Deleted: policy.Gone,
 }
 
-func (p *Proxy) toldServers(list *feed.Endpoints) {
+func (p *Proxy) applyServers(list *feed.Endpoints) {
 	named := map[string]bool{}
 	members := policy.MemberList{Whole: list.Full}
 	for _, s := range list.Servers {
@@ -173,7 +173,7 @@
 			p.pools.Retire(id)
 		}
 	}
-	p.tell(members)
+	p.notify(members)
 	if p.phase == Starting {
 		p.phase = Serving
 	}
--- a/internal/proxy/fields.go
+++ b/internal/proxy/fields.go
@@ -50,8 +50,8 @@
 	return len(s) <= 64 && strings.Trim(s, "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-._~") == ""
 }
 
-// mostSizeKB is the largest size that a client may tell of an object.
-const mostSizeKB = 1e9
+// maxSizeKB is the largest size that a client may tell of an object.
+const maxSizeKB = 1e9
 
 // sizeKB reads the size of an object where clients tell it; 0: not told.
 func sizeKB(s string) (float64, error) {
@@ -62,7 +62,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if !(size >= 0 && size <= mostSizeKB) { // not a number either
+	if !(size >= 0 && size <= maxSizeKB) { // not a number either
 		return 0, fmt.Errorf("%q is out of range", s)
 	}
 	return size, nil
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -16,10 +16,10 @@
 	// idleAfter is when a connection that brings nothing and is owed nothing is closed. Clients close theirs
 	// after 4 s, so one that stays would keep its descriptor for good.
 	idleAfter = 5 * time.Second
-	// wholeAfter is how long a client may pause over its first request, or over the rest of one, and wholeMost how
+	// wholeAfter is how long a client may pause over its first request, or over the rest of one, and wholeAtMost how
 	// long it may take in all: some write slowly.
-	wholeAfter = 2 * time.Second
-	wholeMost  = 10 * time.Second
+	wholeAfter  = 2 * time.Second
+	wholeAtMost = 10 * time.Second
 	// evictPartialAfter is when one that paused in the middle of a request may have to make room for another: it would lose
 	// its request.
 	evictPartialAfter = 250 * time.Millisecond
@@ -29,8 +29,8 @@
 	// backpressureAt is how many bytes of answers a client may leave unread before its further requests wait.
 	backpressureAt = 1 << 20
 	// evictIdleAfter is the same for one that is owed nothing: a request that crosses the close within 50 ms is sent
-	// again. The danger of a longer time: clients that ask once and stay, a few hundred a second, hold all places for
-	// as long, and others wait to be accepted.
+	// again. With a longer time, clients that ask once and stay, a few hundred a second, would hold all places for as
+	// long, and others would wait to be accepted.
 	evictIdleAfter = 100 * time.Millisecond
 	// evictSilentAfter is the same for one that has said nothing yet: a client that means well asks as soon as it is
 	// connected.
@@ -82,8 +82,8 @@
 
 // room says whether one more client may connect. When they hold all descriptors that they may, the one that is
 // missed least has to go: one that has said nothing yet for a while, else the one longest idle, as a request
-// that crosses the close is sent again. The danger: clients that connect and say nothing, or ask once and
-// stay, keep out all others.
+// that crosses the close is sent again. Otherwise clients that connect and say nothing, or ask once and
+// stay, would keep out all others.
 func (f *Front) room() bool {
 	if len(f.conns) < f.most {
 		return true
@@ -110,7 +110,7 @@
 }
 
 func (f *Front) accept(c *net.Conn) net.Handler {
-	cc := &clientConn{front: f, conn: c, open: map[uint16]int64{}, owes: f.p.loop.Now()}
+	cc := &clientConn{front: f, conn: c, open: map[uint16]int64{}, incompleteSince: f.p.loop.Now()}
 	f.conns[cc] = true
 	return cc
 }
@@ -133,7 +133,7 @@
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
 		case len(c.open) == 0 && !c.conn.Ended() && !c.conn.Unread() &&
-			(c.owes != 0 && (c.idle() > wholeAfter || f.p.loop.Now()-c.owes > wholeMost) || c.idle() > idleAfter):
+			(c.incompleteSince != 0 && (c.idle() > wholeAfter || f.p.loop.Now()-c.incompleteSince > wholeAtMost) || c.idle() > idleAfter):
 			c.conn.CloseFlushed()
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,10 +42,10 @@
 	// them for 0.2 s more.
 	stopTime = 700 * time.Millisecond
 	// killTime is how long after the order and the longest deadline the process may be killed, and killLeft what is
-	// kept of that. A deadline longer than mostDeadline counts as that.
-	killTime     = 700 * time.Millisecond
-	killLeft     = 200 * time.Millisecond
-	mostDeadline = 3 * time.Second
+	// kept of that. A deadline longer than maxDeadline counts as that.
+	killTime    = 700 * time.Millisecond
+	killLeft    = 200 * time.Millisecond
+	maxDeadline = 3 * time.Second
 	// drainTime is how long after the order to drain new clients come: the front asks every 0.1 s, and goes on for
 	// 0.2 s.
 	drainTime = 300 * time.Millisecond
@@ -56,7 +56,7 @@
 	goneIn     = 100 * time.Millisecond // told to those refused meanwhile: their connection is closed soon
 	longestNap = 50 * time.Millisecond  // between looks at the order to stop
 	sweepEvery = time.Second
-	mostOpen   = 4096 // requests open at once; the settings may say fewer
+	maxOpen    = 4096 // requests open at once; the settings may say fewer
 
 	// Where the settings tell nothing.
 	defaultIdle    = 15 * time.Second
@@ -87,9 +87,9 @@
 	inbox    []policy.Event // of this turn, for the module
 	requests map[int64]*request
 	lastID   int64
-	mostOpen int
+	maxOpen  int
 	sockets  int // connections to caches
-	mostHeld int // bytes held at which requests are refused
+	maxHeld  int // bytes held at which requests are refused
 	bodies   int // bytes of the open requests' bodies
 	partial  int // bytes of requests that have not come whole
 
@@ -126,15 +126,15 @@
 // request is one client request until its answer is given and its last attempt has ended.
 type request struct {
 	Request
-	number   int64 // the module's
-	to       Responder
-	deadline net.Clock // by which the answer must have been written
-	safe     bool      // it may be repeated
-	timer    *net.Timer
-	attempts []*attempt
-	pending  int
-	told     bool // the module has heard of it and its first actions have been carried out
-	finished bool // answered, or the client has left
+	number     int64 // the module's
+	to         Responder
+	deadline   net.Clock // by which the answer must have been written
+	safe       bool      // it may be repeated
+	timer      *net.Timer
+	attempts   []*attempt
+	pending    int
+	registered bool // the module has heard of it and its first actions have been carried out
+	finished   bool // answered, or the client has left
 }
 
 // New returns a proxy that knows what the configuration knows.
@@ -143,12 +143,12 @@
 		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), log: logger,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 		requests: map[int64]*request{}, servers: map[string]int64{},
-		sockets: UpstreamSockets(cfg.Sockets), mostHeld: cfg.Memory / 4,
+		sockets: UpstreamSockets(cfg.Sockets), maxHeld: cfg.Memory / 4,
 	}
 	p.pools = net.NewPools(loop, net.Limits{}, p.openUpstream)
 	p.apply(cfg.Settings, cfg.Flow)
 	for _, ev := range cfg.Known.Updates {
-		p.told(ev)
+		p.applyEvent(ev)
 	}
 	p.settle()
 	p.sweep()
@@ -162,7 +162,7 @@
 		p.class[c.Name] = i
 		p.tallies.add(c.Name)
 	}
-	p.mostOpen = min(mostOpen, cmp.Or(set.MaxOpen, mostOpen))
+	p.maxOpen = min(maxOpen, cmp.Or(set.MaxOpen, maxOpen))
 	p.pools.SetLimits(net.Limits{
 		Streams:        max(1, set.StreamsPerConn),
 		Sockets:        p.sockets,
@@ -210,7 +210,7 @@
 		p.accepted++
 		p.log.Printf("configuration read again: coordinator %s, %d classes", now.Coordinator, len(now.Settings.Policy.Classes))
 		p.apply(now.Settings, now.Flow)
-		p.tell(now.Settings.Policy) // before any request by the new classes: none has come since the last turn
+		p.notify(now.Settings.Policy) // before any request by the new classes: none has come since the last turn
 		p.Refollow(now.Coordinator)
 	default:
 	}
@@ -227,7 +227,7 @@
 		}
 	default:
 	}
-	if p.phase == Stopping && p.Leaving() && !p.owes() {
+	if p.phase == Stopping && p.Leaving() && !p.hasOpenWork() {
 		p.phase = Stopped
 	}
 }
@@ -239,7 +239,7 @@
 	if p.handsOver() {
 		p.leaveAt = p.loop.Now()
 	}
-	p.endBy = p.loop.Now() + min(mostDeadline, cmp.Or(p.set.Longest, mostDeadline)) + killTime - killLeft
+	p.endBy = p.loop.Now() + min(maxDeadline, cmp.Or(p.set.Longest, maxDeadline)) + killTime - killLeft
 	p.lateAt = p.endBy - lateTime
 }
 
@@ -259,11 +259,11 @@
 }
 
 // late says that clients have had time enough to go: what still comes is refused, so that their connections get empty
-// and can be closed. The danger: clients that always have a request open would never leave.
+// and can be closed. Clients that always have a request open would otherwise never leave.
 func (p *Proxy) late() bool { return p.Leaving() && p.loop.Now() >= p.lateAt }
 
-// owes says whether any client still waits for an answer, or for the rest of one.
-func (p *Proxy) owes() bool {
+// hasOpenWork says whether any client still waits for an answer, or for the rest of one.
+func (p *Proxy) hasOpenWork() bool {
 	for _, f := range p.fronts {
 		if !f.Idle() {
 			return true
@@ -317,11 +317,11 @@
 
 // heard notes that the module knows a request.
 func (p *Proxy) heard(q *request) {
-	q.told = true
+	q.registered = true
 	p.forget(q)
 }
 
-func (p *Proxy) tell(ev policy.Event) { p.inbox = append(p.inbox, ev) }
+func (p *Proxy) notify(ev policy.Event) { p.inbox = append(p.inbox, ev) }
 
 func (p *Proxy) carryOut(a policy.Action) {
 	switch a := a.(type) {
@@ -339,7 +339,7 @@
 		}
 	case policy.StartTimer:
 		token := a.Token
-		p.loop.At(p.loop.Now()+a.In, func() { p.tell(policy.TimerFired{Token: token}) })
+		p.loop.At(p.loop.Now()+a.In, func() { p.notify(policy.TimerFired{Token: token}) })
 	}
 }
 
@@ -347,7 +347,7 @@
 // when it was answered at once.
 func (p *Proxy) Submit(in Request, to Responder) int64 {
 	// At these bounds a refusal is all that memory allows; it is harmless, and clients come again.
-	if len(p.requests) >= p.mostOpen || p.held() >= p.mostHeld {
+	if len(p.requests) >= p.maxOpen || p.held() >= p.maxHeld {
 		p.turnAway(in, to, Answer{Status: Overloaded})
 		return 0
 	}
@@ -362,7 +362,7 @@
 	p.open++
 	p.bodies += len(q.Body)
 	q.timer = p.loop.At(q.deadline, func() { p.expire(q) })
-	p.tell(policy.Request{ID: q.number, Object: in.Object, Part: in.Part, Group: in.Group, Class: in.Class,
+	p.notify(policy.Request{ID: q.number, Object: in.Object, Part: in.Part, Group: in.Group, Class: in.Class,
 		SizeKB: in.SizeKB, Left: q.deadline - now})
 	return q.number
 }
@@ -381,7 +381,7 @@
 	if q := p.requests[number]; q != nil && !q.finished {
 		p.finish(q)
 		p.tallies.count(q.Name, faulted)
-		p.tell(policy.ClientGone{ID: number})
+		p.notify(policy.ClientGone{ID: number})
 	}
 }
 
@@ -399,7 +399,7 @@
 		}
 	}
 	p.answer(q, Answer{Status: status})
-	p.tell(policy.ClientGone{ID: number})
+	p.notify(policy.ClientGone{ID: number})
 }
 
 // expire ends what is still out when a request's time is over; the module then gives the final answer. One that
@@ -407,7 +407,7 @@
 func (p *Proxy) expire(q *request) {
 	if q.pending == 0 {
 		p.answer(q, Answer{Status: Failed})
-		p.tell(policy.ClientGone{ID: q.number})
+		p.notify(policy.ClientGone{ID: q.number})
 		return
 	}
 	q.timer = p.loop.At(p.loop.Now()+answerTime/4, func() { p.expire(q) })
@@ -445,7 +445,7 @@
 // module has heard of it: the module decides on an attempt first, waits for its end, and would else count it as
 // under way for good, a link's place lost with each.
 func (p *Proxy) forget(q *request) {
-	if q.told && q.finished && q.pending == 0 && p.requests[q.number] == q {
+	if q.registered && q.finished && q.pending == 0 && p.requests[q.number] == q {
 		p.loop.Stop(q.timer)
 		p.bodies -= len(q.Body)
 		delete(p.requests, q.number)
--- a/internal/proxy/responder.go
+++ b/internal/proxy/responder.go
@@ -38,7 +38,7 @@
 	}
 	// Clients that leave their answers unread must not use up the memory: the one with a backlog loses its
 	// connection, which tells it that the answer is not whole.
-	if n, _ := r.conn.conn.Backlog(); n > 0 && r.conn.front.p.held() > 2*r.conn.front.p.mostHeld {
+	if n, _ := r.conn.conn.Backlog(); n > 0 && r.conn.front.p.held() > 2*r.conn.front.p.maxHeld {
 		r.conn.conn.Close()
 		r.conn.Closed(errFull)
 		return
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -94,7 +94,7 @@
 func (u *upstream) leave(a *attempt, unanswered bool) {
 	delete(u.calls, a.req.ID)
 	if a.started && unanswered && !u.slot.Ended() {
-		// The danger: an answer that stopped short would take the next one's bytes for its own.
+		// An answer that stopped short would take the next one's bytes for its own.
 		u.slot.Stale = u.slot.Stale || u.quiet() || u.slot.Pending() > 0 || u.p.mustClose(a)
 		u.slot.Write(resp.AppendStop(nil, a.req.ID))
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -7,8 +7,8 @@
 	"slices"
 )
 
-// Check says whether a real proxy can serve by the settings. The danger: a list by class that is too short makes a
-// write of what must not run twice look like a read.
+// Check says whether a real proxy can serve by the settings. A list by class that is too short would make a write
+// that must not run twice look like a read.
 func (s Settings) Check() error {
 	c := s.read
 	if len(c.Classes) == 0 {
