Share connections among repeatable calls where the settings price handshakes

Every call took a connection of its own (Pools.Get: best.Load > 0), and the third that came up late cost one more each.

Change: where costs.handshake in the settings is over 0, up to eight calls that may be repeated share a connection before a new one is begun. A call that may not be repeated still gets one of its own, and so does each where handshakes cost nothing: what spoils a connection harms all calls on it. The test was seen to fail without the change.

--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -27,6 +27,7 @@
 	Streams        int // uses that one connection carries together
 	Sockets        int // connections of all pools together
 	Apart          int // connections up to which each use gets one of its own
+	Shared         int // uses that share one all the same, of those that can be repeated; 0: none
 	ConnectTimeout time.Duration
 	Idle           time.Duration // an unused connection is closed after this
 }
@@ -114,8 +115,9 @@
 
 // Get returns a connection to the server for one more use: one that is up rather than one still connecting,
 // the least used first, of unused ones the last used, and a new one when none fits. While connections are few
-// each use gets one of its own: what spoils or ends a connection hits all uses that share it. A careful use,
-// which can't be repeated, takes a new one if those lately were lost less often.
+// each use gets one of its own: what spoils or ends a connection hits all uses that share it. Where the limits say so,
+// a few that can be repeated share one. A careful use, which can't be, takes a new one if those lately were lost less
+// often.
 func (ps *Pools) Get(id string, careful bool, fits func(*Slot) bool) (*Slot, error) {
 	p := ps.byID[id]
 	if p == nil {
@@ -132,7 +134,8 @@
 		}
 	}
 	worse := best != nil && careful && best.Load == 0 && ps.risks[best.idle()] > ps.risks[0]
-	if best == nil || (best.Load > 0 || worse) && ps.count < ps.limits.Apart {
+	crowded := best != nil && best.Load > 0 && (careful || best.Load >= ps.limits.Shared)
+	if best == nil || (crowded || worse) && ps.count < ps.limits.Apart {
 		fresh, err := p.dial()
 		switch {
 		case err == nil:
--- a/internal/net/pool_test.go
+++ b/internal/net/pool_test.go
@@ -124,3 +124,36 @@
 		t.Errorf("a new connection though one is up: %v", err)
 	}
 }
+
+// Uses that can be repeated share a connection up to the limit; one that can't gets its own, and so does each where nothing
+// is to be shared.
+func TestSharedConnections(t *testing.T) {
+	for _, c := range []struct {
+		shared  int
+		careful []bool // of each use
+		want    int    // connections
+	}{
+		{0, []bool{false, false, false}, 3},
+		{3, []bool{false, false, false}, 1},
+		{3, []bool{false, false, false, false}, 2},
+		{3, []bool{false, true, false}, 2},
+		{3, []bool{true, true}, 2},
+	} {
+		l, err := NewLoop(SystemClock())
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.tick()
+		ps := NewPools(l, Limits{Streams: 8, Sockets: 10, Apart: 8, Shared: c.shared, ConnectTimeout: time.Minute, Idle: time.Minute},
+			func(*Slot) Handler { return nobody{} })
+		ps.Set("s", newFull(t).addr)
+		for _, careful := range c.careful {
+			if _, err := ps.Get("s", careful, func(*Slot) bool { return true }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if ps.count != c.want {
+			t.Errorf("%+v: %d connections", c, ps.count)
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,6 +57,9 @@
 	longestNap = 50 * time.Millisecond  // between looks at the order to stop
 	sweepEvery = time.Second
 	maxOpen    = 4096 // requests open at once; the settings may say fewer
+	// sharedCalls is how many calls that may be repeated share a connection where new ones are priced: more would save
+	// less than an eighth of the handshakes, and lose more calls with a connection that breaks.
+	sharedCalls = 8
 
 	// Where the settings tell nothing.
 	defaultIdle    = 15 * time.Second
@@ -163,8 +166,13 @@
 		p.tallies.add(c.Name)
 	}
 	p.maxOpen = min(maxOpen, cmp.Or(set.MaxOpen, maxOpen))
+	shared := 0
+	if set.DearHandshakes {
+		shared = sharedCalls
+	}
 	p.pools.SetLimits(net.Limits{
 		Streams:        max(1, set.StreamsPerConn),
+		Shared:         shared,
 		Sockets:        p.sockets,
 		Apart:          p.sockets / 2,
 		ConnectTimeout: cmp.Or(set.ConnectTimeout, defaultConnect),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	Longest        time.Duration // deadline of all classes; 0: not told
 	ConnIdle       time.Duration // a cache closes a connection left idle for this long
 	ConnectTimeout time.Duration
+	DearHandshakes bool // new connections are priced
 	MaxOpen        int  // requests that may be open at once; 0: not told
 	StreamsPerConn int  // attempts that one connection carries together; 0: not told
 	NoAdvice       bool // refused clients are not told when to come again
@@ -41,6 +42,9 @@
 		Stream     bool    `json:"stream"`
 		Window     int64   `json:"window-us"`
 	} `json:"classes"`
+	Costs struct {
+		Handshake float64 `json:"handshake"`
+	} `json:"costs"`
 	Domain struct {
 		AttachedTo        []int     `json:"attached-to"`
 		CanJoin           bool      `json:"can-join"`
@@ -151,7 +155,8 @@
 	return Settings{
 		Policy: s, Zones: c.Areas, Kinds: c.HostTypes,
 		Longest: longest, ConnIdle: us(c.Limits.ConnIdle), ConnectTimeout: us(c.Limits.ConnectTimeout),
-		MaxOpen: c.Limits.MaxOpen, StreamsPerConn: c.Limits.StreamsPerConn,
+		DearHandshakes: c.Costs.Handshake > 0,
+		MaxOpen:        c.Limits.MaxOpen, StreamsPerConn: c.Limits.StreamsPerConn,
 		NoAdvice: c.Limits.RetryAfter != nil && !*c.Limits.RetryAfter,
 		read:     c,
 	}, nil
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -20,6 +20,15 @@
 	}
 }
 
+// Connections are dear where their handshakes are priced.
+func TestHandshakePriceIsDecoded(t *testing.T) {
+	for conf, want := range map[string]bool{`{"costs":{"handshake":0.2}}`: true, `{"costs":{"handshake":0.0}}`: false, `{}`: false} {
+		if s, err := Decode([]byte(conf)); err != nil || s.DearHandshakes != want {
+			t.Errorf("%s: %v, %v", conf, s.DearHandshakes, err)
+		}
+	}
+}
+
 const whole = `{"classes":[{"name":"a","deadline-us":1},{"name":"w","semantics":"non_idempotent","deadline-us":1}],
 	"domain":{"pass-on":[false,true]},"limits":{"max-attempts":2},"areas":["hub","edge"]}`
 
