Count a purge's age back from the turn's time, also when the process was held up

Cause: Proxy.applyEvent took the age from the system's clock at that moment, and the module counts it back from the time at which the turn began (r.now - Age). A process that loses its core in between, or has much to read in a turn, takes the purge for older than it is by as long, and its calls then accept copies from before the purge.

Ruled out: to count from the loop's clock alone: that does not follow a later change of the system's clock.

Change: Loop.Lag says how long the turn has been going on, and is taken off the age.

--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -138,7 +138,10 @@
 func (p *Proxy) applyEvent(ev feed.Event) {
 	if v := ev.Evict; v != nil {
 		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
-		purge := policy.Purge{Object: v.Object, Age: max(0, time.Since(time.UnixMilli(v.At+1)))}
+		// Its age is counted back from the turn's time, as the module does. A process that was held up in this turn would
+		// else take the purge for older than it is, and ask for copies from before it.
+		age := time.Since(time.UnixMilli(v.At+1)) - p.loop.Lag()
+		purge := policy.Purge{Object: v.Object, Age: max(0, age)}
 		if v.Group != nil {
 			purge.Group = *v.Group
 		}
--- a/internal/proxy/coordinator_test.go
+++ b/internal/proxy/coordinator_test.go
@@ -4,6 +4,10 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
+	"cloverdoor/policy"
 )
 
 // A coordinator that is gone for 8 s is called by each of 300 processes again and again. Over all of them the calls come
@@ -36,3 +40,33 @@
 		}
 	}
 }
+
+// heldClock goes by the system's clock, but the first look at it was long ago: a process that was held up in its turn.
+type heldClock struct {
+	net.TimeSource
+	held   time.Duration
+	looked bool
+}
+
+func (c *heldClock) Now() net.Clock {
+	now := c.TimeSource.Now()
+	if !c.looked {
+		c.looked = true
+		return now - c.held
+	}
+	return now
+}
+
+// A purge that is told in a turn in which the process was held up is as old as it was when the turn began.
+func TestPurgeToldInALongTurn(t *testing.T) {
+	const held, ago = 10 * time.Second, 12 * time.Second
+	loop, err := net.NewLoop(&heldClock{TimeSource: net.SystemClock(), held: held})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Proxy{loop: loop}
+	p.applyEvent(feed.Event{Evict: &feed.Evict{Object: "x", At: time.Now().Add(-ago).UnixMilli()}})
+	if age := p.inbox[0].(policy.Purge).Age; age < ago-held-time.Second || age > ago-held+time.Second {
+		t.Errorf("the purge counts as %v old, %v before the turn", age, ago-held)
+	}
+}
