--- a/cmd/cloverdoor/coordinator_test.go
+++ b/cmd/cloverdoor/coordinator_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// After a purge no older copy is asked for, and no fill is joined that may bring one.
+// After a purge no older copy is asked for, and one that a joined fill brings all the same is not passed on.
 func TestPurgeBoundsTheAge(t *testing.T) {
 	for _, purge := range []string{`{"index":2,"evict":{"ref":"0000000000000001","unix_ms":%d}}`, `{"index":2,"evict":{"shard":17,"unix_ms":%d}}`} {
 		w := newWorld(t)
