--- a/cmd/cloverdoor/process_test.go
+++ b/cmd/cloverdoor/process_test.go
@@ -9,11 +9,9 @@
 	"time"
 )
 
+// longWait is how long a client waits, in milliseconds, where its time must not run out.
 const longWait = 60_000
 
-// These tests force the crossings that docs/endings.md lists: each puts the program into the very moment in which
-// something ends while something is still owed.
-
 // freeze stops the program's process until thaw is called: what is sent meanwhile arrives in one piece.
 func (w *world) freeze() (thaw func()) {
 	w.t.Helper()
--- a/policy/coldbudget.go
+++ b/policy/coldbudget.go
@@ -29,12 +29,15 @@
 
 // withinColdBudget keeps to this router's part, and waits for a window after the router's own start.
 func (r *Router) withinColdBudget(m *member, req *request) bool {
-	warm, window, cost := r.warmShare(m), max(r.settings.FallWindow, time.Second), r.coldCost(req)
-	expired := func(a *attempt) bool { return r.now-a.begun > window }
-	if m.coldAttempts = slices.DeleteFunc(m.coldAttempts, expired); warm >= 1 {
+	warm := r.warmShare(m)
+	if warm >= 1 {
+		m.coldAttempts = nil
 		return true
 	}
 	_, _, multiple := r.coldRules(m)
+	window, cost := max(r.settings.FallWindow, time.Second), r.coldCost(req)
+	expired := func(a *attempt) bool { return r.now-a.begun > window }
+	m.coldAttempts = slices.DeleteFunc(m.coldAttempts, expired)
 	sum := cost
 	for _, a := range m.coldAttempts {
 		sum += r.coldCost(a.request)
--- a/policy/estimators.go
+++ b/policy/estimators.go
@@ -163,7 +163,6 @@
 	}
 }
 
-// observeSize learns the sending time of a part: told with the answer, or its time over an uncongested link.
 func (r *Router) observeSize(a *attempt, o Outcome) {
 	req, work := a.request, o.Sending.Seconds()
 	if work == 0 && o.fromCopy() && a.targetTime < congestedFrom*req.work {
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -15,7 +15,6 @@
 	fillShare       = 0.33 // share of what caches carry that the tier above fills: two of three are hits
 )
 
-// member is one cache, parent or origin with everything that was observed of it.
 type member struct {
 	Member
 	hash                    uint64
--- a/policy/source.go
+++ b/policy/source.go
@@ -83,7 +83,6 @@
 	return cmp.Or(r.chooseSibling(req, target), r.chooseParent(req), target)
 }
 
-// chooseSibling passes over siblings whose link is full: all routers rank them alike.
 func (r *Router) chooseSibling(req *request, target *member) *member {
 	if r.settings.Siblings == SiblingsNone {
 		return nil
