--- a/cmd/cloverdoor/config_test.go
+++ b/cmd/cloverdoor/config_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -24,6 +25,49 @@
 	w.awaitAlive("503")
 }
 
+// fullPipe returns both ends of a pipe whose buffer is full: a write to it blocks until somebody reads.
+func fullPipe(t *testing.T) (read, write *os.File) {
+	t.Helper()
+	var ends [2]int
+	if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC); err != nil {
+		t.Fatal(err)
+	}
+	read, write = os.NewFile(uintptr(ends[0]), "pipe"), os.NewFile(uintptr(ends[1]), "pipe")
+	t.Cleanup(func() {
+		read.Close()
+		write.Close()
+	})
+	if _, err := write.Write(make([]byte, 64<<10)); err != nil {
+		t.Fatal(err)
+	}
+	return read, write
+}
+
+// A log whose reader stalls holds up neither requests nor operators nor the end.
+func TestLogThatNobodyReads(t *testing.T) {
+	w := prepare(t)
+	_, w.log = fullPipe(t)
+	w.cache.serve("served", "-", "fine")
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	receive(t, w.follows, "follow")
+	for range 3 {
+		w.tell("nonsense") // is logged
+		receive(t, w.follows, "follow")
+	}
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	w.checkFigures(map[string]int{operations("artes", "fulfilled"): 1})
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
+
 // SIGHUP brings a new coordinator, whose numbers go on. What is open meanwhile is answered.
 func TestReloadFollowsTheNewCoordinator(t *testing.T) {
 	w := newWorld(t)
--- a/cmd/cloverdoor/coordinator_test.go
+++ b/cmd/cloverdoor/coordinator_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -238,3 +241,79 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// slowCoordinator brings one line to each follower, as many bytes at a time as the test wants.
+type slowCoordinator struct {
+	net.Listener
+	line string
+	mu   sync.Mutex
+	sent map[net.Conn]int
+}
+
+func newSlowCoordinator(t *testing.T, line any, follows chan<- string) *slowCoordinator {
+	t.Helper()
+	text, err := json.Marshal(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &slowCoordinator{Listener: listen(t), line: string(text) + "\n", sent: map[net.Conn]int{}}
+	go serveEach(s, func(conn net.Conn) {
+		in := bufio.NewScanner(conn)
+		for in.Scan() {
+			s.mu.Lock()
+			s.sent[conn] = 0
+			s.mu.Unlock()
+			follows <- in.Text()
+		}
+	})
+	return s
+}
+
+// bring writes the next bytes to each follower.
+func (s *slowCoordinator) bring(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, sent := range s.sent {
+		next := min(sent+bytes, len(s.line))
+		fmt.Fprint(conn, s.line[sent:next]) // one that has left is of no interest
+		s.sent[conn] = next
+	}
+}
+
+// A coordinator that brings an event slowly but steadily is heard: what has come of the line is not thrown away.
+func TestSlowLineIsHeard(t *testing.T) {
+	const inAll, step = 6 * time.Second, 100 * time.Millisecond
+	w := prepare(t)
+	w.clock = newSteps(t)
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	drain := newSlowCoordinator(t, list(2, false, member("c1", "std", "edge", "DRAINING", w.cache)), w.follows)
+	w.via = func(string) string { return drain.Addr().String() }
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("c2", "std", "edge", "SERVING", second),
+		member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	receive(t, w.follows, "follow")
+	for range inAll / step {
+		drain.bring(1 + len(drain.line)/int(inAll/step))
+		w.clock.advance(step)
+	}
+	w.awaitAlive("200") // a turn later: all that came before has been read
+	w.servedOnlyBy("second")
+}
+
+// An entry in a state that this version does not know counts as gone; the rest of its event and the later events are
+// taken, and nothing is asked for again.
+func TestUnknownStateHidesNothing(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	second := newServer(t)
+	second.serve("served", "-", "second")
+	w.tell(list(2, false, member("c1", "std", "edge", "RESTING", w.cache), member("c2", "std", "edge", "SERVING", second)))
+	w.eventually("the rest of the event is taken", func() bool { return w.figure("svc_registry_entries") == 2 })
+	w.servedOnlyBy("second")
+	w.tell(list(3, false, member("c2", "std", "edge", "DELETED", second)))
+	w.eventually("the next event is taken", func() bool { return w.figure("svc_registry_entries") == 1 })
+	if len(w.follows) != 0 {
+		t.Errorf("followed anew: %q", <-w.follows)
+	}
+}
