Log and read the configuration without blocking the loop

Cause: every line of the log was a blocking write to standard error on the loop's goroutine (log.Printf in proxy, phase, admin, coordinator, upstream), and os.ReadFile at SIGHUP another. With the pipe full no request was answered, /ops/stats was silent and SIGTERM did not end the program.

Change: internal/logging queues lines, writes them on a goroutine of its own, drops and counts what finds no room (svc_log_lines_dropped) and bounds messages that repeat; the log is structured (log/slog).

TestSlowConfigurationFile reloads through a FIFO that brings nothing until a request has been served.

--- a/cmd/cloverdoor/config_test.go
+++ b/cmd/cloverdoor/config_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"os/exec"
 	"strings"
@@ -68,6 +69,32 @@
 	}
 }
 
+// A configuration file that takes long to read holds up nobody; it is taken over once it has been read.
+func TestSlowConfigurationFile(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	if err := errors.Join(os.Remove(w.config), syscall.Mkfifo(w.config, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.OpenFile(w.config, os.O_WRONLY, 0) // comes back when the program has opened it to read
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	if _, err := file.WriteString(w.text); err != nil {
+		t.Fatal(err)
+	}
+	file.Close()
+	w.eventually("taken over", func() bool { return w.figure("svc_cfg_accepted") == 1 })
+}
+
 // SIGHUP brings a new coordinator, whose numbers go on. What is open meanwhile is answered.
 func TestReloadFollowsTheNewCoordinator(t *testing.T) {
 	w := newWorld(t)
--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -14,13 +14,18 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"cloverdoor/internal/feed"
+	"cloverdoor/internal/logging"
 	"cloverdoor/internal/net"
 	"cloverdoor/internal/proxy"
 	"cloverdoor/internal/settings"
 )
 
+// logPatience is how long the end of the program waits for its last lines to be written.
+const logPatience = 200 * time.Millisecond
+
 // config is the file that BALANCER_CONFIG names.
 type config struct {
 	Name   string `json:"name"`
@@ -47,19 +52,23 @@
 
 // serve runs the program by a clock until it has been stopped. It exits with status 1 when that went wrong.
 func serve(clock net.TimeSource) {
-	logger := log.New(os.Stderr, "cloverdoor: ", 0)
+	out := logging.NewWriter(os.Stderr)
+	name := "cloverdoor"
 	cfg, err := load(os.Getenv)
 	if err == nil {
-		logger.SetPrefix("cloverdoor " + cfg.Name + ": ")
-		err = run(cfg, clock, logger)
+		name = "cloverdoor " + cfg.Name
+		err = run(cfg, clock, logging.New(out, cfg.Name), out)
+	}
+	if err != nil {
+		fmt.Fprintf(out, "%s: %v\n", name, err) //nolint:errcheck // never fails
 	}
+	out.Close(logPatience)
 	if err != nil {
-		logger.Print(err)
 		os.Exit(1)
 	}
 }
 
-func run(cfg *config, clock net.TimeSource, logger *log.Logger) error {
+func run(cfg *config, clock net.TimeSource, logger *slog.Logger, out *logging.Writer) error {
 	// A garbage collector that knows the limit works harder near it; the platform would kill the process.
 	debug.SetMemoryLimit(int64(cfg.proxy.Memory) * 6 / 10)
 	loop, err := net.NewLoop(clock)
@@ -71,27 +80,33 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	cfg.proxy.LogDropped = out.Dropped
 	p := proxy.New(loop, cfg.proxy, logger)
 	if err := openAddresses(p, cfg); err != nil {
 		return err
 	}
 	p.Follow(cfg.coordinator, cfg.Known.Index)
-	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Read: func() (proxy.Update, error) {
+	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Load: func() (proxy.Apply, error) {
 		now, err := load(os.Getenv)
-		if err == nil {
-			err = now.checkAfter(cfg)
-		}
 		if err != nil {
-			return proxy.Update{}, err
-		}
-		if kept := cfg.keeps(now); kept != "" {
-			logger.Printf("changed in the configuration, and taken over at the next start only: %s", kept)
+			return nil, err
 		}
-		cfg.fields, cfg.proxy.Settings = now.fields, now.proxy.Settings
-		return proxy.Update{Coordinator: now.coordinator, Settings: now.proxy.Settings, Flow: now.Flow}, nil
+		return func() (proxy.Update, error) { return cfg.takeOver(now, logger) }, nil
 	}})
 }
 
+// takeOver checks a configuration read later against the one in use, and makes it the one in use.
+func (c *config) takeOver(now *config, logger *slog.Logger) (proxy.Update, error) {
+	if err := now.checkAfter(c); err != nil {
+		return proxy.Update{}, err
+	}
+	if kept := c.keeps(now); kept != "" {
+		logger.Warn("changed in the configuration, and taken over at the next start only", "fields", kept)
+	}
+	c.fields, c.proxy.Settings = now.fields, now.proxy.Settings
+	return proxy.Update{Coordinator: now.coordinator, Settings: now.proxy.Settings, Flow: now.Flow}, nil
+}
+
 // checkAfter says whether a configuration read later may be taken over. Half of one, such as a file that was cut off
 // or lacks a key, must not be: its absent values would pass for 'not told'.
 func (c *config) checkAfter(earlier *config) error {
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -141,7 +141,7 @@
 // startDrain empties the proxy of clients; it goes on running, and may be taken back.
 func (p *Proxy) startDrain() http1.Response {
 	if p.phase == Serving {
-		p.log.Printf("draining on an operator's order: %d requests open", p.open)
+		p.log.Info("draining on an operator's order", "open", p.open)
 		p.drain()
 	}
 	return p.inPhase(Draining)
@@ -149,7 +149,7 @@
 
 func (p *Proxy) stopDrain() http1.Response {
 	if p.phase == Draining {
-		p.log.Print("drain ended on an operator's order")
+		p.log.Info("drain ended on an operator's order")
 		p.phase = Serving
 	}
 	return p.inPhase(Serving)
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 	"io"
-	"log"
+	"log/slog"
 	stdnet "net"
 	"strings"
 	"testing"
@@ -52,7 +52,7 @@
 	}
 	p := New(loop, Config{Settings: set, Sockets: 100, Memory: 1 << 26, Known: feed.Known{Index: 1, Updates: []feed.Event{{Index: 1,
 		Endpoints: &feed.Endpoints{Full: true, Servers: []feed.Server{{ID: "o", Addr: ln.Addr().String(), Zone: "hub", Kind: "origin",
-			State: feed.Serving, Weight: 100}}}}}}}, log.New(io.Discard, "", 0))
+			State: feed.Serving, Weight: 100}}}}}}}, slog.New(slog.DiscardHandler))
 	number := p.Submit(Request{ID: "9b1f03aa5c7e2d41", Name: "w", Object: "7f3a9c21e0b4d655", Wait: time.Minute}, deaf{})
 	p.consult() // the call is queued on a connection that is not up yet
 	a := p.requests[number].attempts[0]
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -128,7 +128,7 @@
 func (f *follower) Closed(err error) {
 	f.conn = nil
 	if f.pause == refollowAfter { // one line for each outage
-		f.p.log.Printf("coordinator: %v; following again from %d", err, f.last)
+		f.p.log.Warn("coordinator lost, followed again", "error", err, "event", f.last)
 	}
 	f.again = f.p.loop.At(f.p.loop.Now()+jitter(f.pause, f.p.rng), f.connect)
 	f.pause = min(2*f.pause, refollowAtMost)
@@ -163,7 +163,7 @@
 		m, addr, err := p.member(s)
 		if err != nil {
 			// What can't be read can't be used, and it may have told of a drain.
-			p.log.Printf("server %s counts as gone: %v", s.ID, err)
+			p.log.Warn("server counts as gone", "server", s.ID, "error", err)
 			m.State = policy.Gone
 		}
 		named[s.ID] = m.State != policy.Gone
--- a/internal/proxy/phase.go
+++ b/internal/proxy/phase.go
@@ -50,7 +50,7 @@
 	select {
 	case <-stop:
 		if p.phase < Stopping {
-			p.log.Printf("stopping: %d requests open", p.open)
+			p.log.Info("stopping", "open", p.open)
 			p.stop()
 		}
 	default:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"fmt"
-	"log"
+	"log/slog"
 	"math/rand/v2"
-	"net/netip"
-	"os"
 	"time"
 
 	"cloverdoor/internal/feed"
@@ -42,6 +40,8 @@
 	Sockets  int     // descriptors that the process may hold
 	Memory   int     // bytes that the process may use
 	Flow     float64 // bytes a second of one transfer; 0: not told
+
+	LogDropped func() int64 // how many lines of the log were dropped; nil: not known
 }
 
 // Proxy is one edge proxy. Everything in it runs on the loop's goroutine.
@@ -51,7 +51,7 @@
 	set    settings.Settings
 	class  map[string]int // by name: its number in the settings
 	flow   float64        // bytes a second of one transfer; 0: not told
-	log    *log.Logger
+	log    *slog.Logger
 	rng    *rand.Rand
 	phase  Phase
 
@@ -77,21 +77,8 @@
 	open              int // requests taken and not ended
 	tallies           tallies
 	accepted, invalid int // configurations read again
-}
-
-// Orders are what the program is told from outside while it runs.
-type Orders struct {
-	Stop   <-chan os.Signal // drain, then end
-	Reload <-chan os.Signal // read the configuration again
-	// Read returns what the configuration says now. An error says that it can't be used.
-	Read func() (Update, error)
-}
-
-// Update is what a running proxy takes over from a configuration read again.
-type Update struct {
-	Coordinator netip.AddrPort
-	Settings    settings.Settings
-	Flow        float64
+	logDropped        func() int64
+	loader            loader
 }
 
 // request is one client request until its answer is given and its last attempt has ended.
@@ -109,12 +96,12 @@
 }
 
 // New returns a proxy that knows what the configuration knows.
-func New(loop *net.Loop, cfg Config, logger *log.Logger) *Proxy {
+func New(loop *net.Loop, cfg Config, logger *slog.Logger) *Proxy {
 	p := &Proxy{
 		loop: loop, router: policy.New(cfg.Settings.Policy, cfg.Seed), log: logger,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 		requests: map[int64]*request{}, servers: map[string]int64{},
-		sockets: UpstreamSockets(cfg.Sockets), maxHeld: cfg.Memory / 4,
+		sockets: UpstreamSockets(cfg.Sockets), maxHeld: cfg.Memory / 4, logDropped: cfg.LogDropped,
 	}
 	p.pools = net.NewPools(loop, net.Limits{}, p.openUpstream)
 	p.apply(cfg.Settings, cfg.Flow)
@@ -169,26 +156,6 @@
 	return nil
 }
 
-// reload carries out an order to read the configuration again. One that can't be used changes nothing: the
-// proxy goes on serving with the one it has.
-func (p *Proxy) reload(orders Orders) {
-	select {
-	case <-orders.Reload:
-		now, err := orders.Read()
-		if err != nil {
-			p.invalid++
-			p.log.Printf("not taken over: %v", err)
-			return
-		}
-		p.accepted++
-		p.log.Printf("configuration read again: coordinator %s, %d classes", now.Coordinator, len(now.Settings.Policy.Classes))
-		p.apply(now.Settings, now.Flow)
-		p.notify(now.Settings.Policy) // before any request by the new classes: none has come since the last turn
-		p.Refollow(now.Coordinator)
-	default:
-	}
-}
-
 // settle hands what has gathered to the module, carries out its actions and writes, until nothing is left.
 func (p *Proxy) settle() {
 	for {
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -54,6 +54,14 @@
 	return faulted
 }
 
+// droppedLines is how many lines of the log found no room.
+func (p *Proxy) droppedLines() int {
+	if p.logDropped == nil {
+		return 0
+	}
+	return int(p.logDropped())
+}
+
 // stats are the figures as operators fetch them.
 func (p *Proxy) stats() string {
 	var b strings.Builder
@@ -71,6 +79,7 @@
 		{"out_of_rotation", p.router.Avoided(p.loop.Now())},
 		{"cfg_accepted", p.accepted},
 		{"cfg_invalid", p.invalid},
+		{"log_lines_dropped", p.droppedLines()},
 	} {
 		fmt.Fprintf(&b, "svc_%s %d\n", figure.name, figure.value)
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -78,7 +78,7 @@
 	case errors.Is(err, net.ErrConnect):
 		result = policy.ResultConnectFailed
 	case errors.Is(err, resp.ErrMalformed):
-		u.p.log.Printf("connection to a cache dropped: %v", err)
+		u.p.log.Warn("connection to a server dropped", "error", err)
 	}
 	calls := make([]*attempt, 0, len(u.calls))
 	for _, a := range u.calls {
