Hear slow lines of the coordinator, and let no unreadable one hide the rest

Cause: follower.watch closed a stream after 4 s without a whole line and followed from the same event, so that a line of 6 s never came; each restart used the same limits (connect 0.5 s, silence 2.5 s). feed.Check failed the whole event for one entry in an unknown state, and the same event was asked for again without end.

Change: when a stream brings no whole line in its time, a second one is opened beside it and the first is kept; limits double with each stream that was too slow. Events are read entry by entry: a server that is named and can't be read counts as gone, a purge of what can't be read is one of all groups, the number is taken in any case. A line that is neither event nor number is asked for once more and then passed over, and so is one over 1 MB.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -33,6 +33,9 @@
 // ErrConnect marks a connection that never came up: nothing was sent on it.
 var ErrConnect = errors.New("not connected")
 
+// ErrConnectTimeout says that a connection did not come up in the time that it was given.
+var ErrConnectTimeout = errors.New("connect timed out")
+
 // ErrBacklog marks a connection whose peer does not take what it is sent.
 var ErrBacklog = errors.New("peer takes no output")
 
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"errors"
 	"math/rand/v2"
 	"net/netip"
@@ -9,17 +10,22 @@
 
 	"cloverdoor/internal/feed"
 	"cloverdoor/internal/net"
-	"cloverdoor/policy"
 )
 
 const (
 	silentAfter = 2500 * time.Millisecond // the coordinator says something every second
-	// lineAfter is how long a line may take to come whole, a list in many pieces for example. What the coordinator
-	// has to tell counts as told after 7 s, whether it came or not.
+	// lineAfter is how long a line may take to come whole, a list in many pieces for example, before the coordinator is
+	// asked on a second stream as well. What it has to tell counts as told after 7 s, whether it came or not.
 	lineAfter      = 4 * time.Second
-	feedTimeout    = 500 * time.Millisecond
+	feedTimeout    = 500 * time.Millisecond // for a connect
 	refollowAfter  = 100 * time.Millisecond // doubles with each attempt that brought nothing
 	refollowAtMost = 400 * time.Millisecond // drains may follow at once when the coordinator is back
+
+	// maxStreams is how many streams are followed side by side, while none brings whole lines.
+	maxStreams = 2
+	// Each stream in a row that did not come up in its time, or brought no whole line in it, doubles the limits of the
+	// next, up to here: what takes long every time would else never come.
+	maxDoublings = 3
 )
 
 var (
@@ -27,21 +33,41 @@
 	errSilent = errors.New("coordinator is silent")
 )
 
-// follower keeps up with the coordinator's stream.
+// follower keeps up with the coordinator's events. Normally it has one stream. When that brings no whole line for a while,
+// a second one is opened beside it; what has come of a line on the first is not thrown away.
 type follower struct {
-	p     *Proxy
-	addr  netip.AddrPort
-	last  int64 // number of the last event that was taken
-	conn  *net.Conn
-	since net.Clock  // when conn was begun
-	whole net.Clock  // when it last brought a whole line, or was begun
-	again *net.Timer // of the next connect, while there is no conn
-	pause time.Duration
+	p          *Proxy
+	addr       netip.AddrPort
+	last       int64     // number of the last event that was taken
+	streams    []*stream // the oldest first
+	fruitless  int       // streams in a row that were too slow
+	heard      net.Clock // when a whole line came last, or the following was begun
+	again      *net.Timer
+	pause      time.Duration
+	unreadable unreadableLine
+}
+
+// unreadableLine is the last line that was neither an event nor a number. When it comes again at the same place, it is
+// passed over: to ask once more would bring it for a third time.
+type unreadableLine struct {
+	text  []byte
+	after int64 // the last event that was taken before it
+	over  int64 // events that may be missing, as their lines were passed over
+}
+
+// stream is one connection on which the coordinator is followed.
+type stream struct {
+	f        *follower
+	conn     *net.Conn
+	whole    net.Clock     // when it last brought a whole line, or was begun
+	silence  time.Duration // for how long it may bring nothing
+	line     time.Duration // for how long it may bring no whole line
+	skipping bool          // the rest of a line that is too long
 }
 
 // Follow keeps the proxy up to date with the coordinator at addr from event last on.
 func (p *Proxy) Follow(addr netip.AddrPort, last int64) {
-	p.follower = &follower{p: p, addr: addr, last: last, pause: refollowAfter}
+	p.follower = &follower{p: p, addr: addr, last: last, pause: refollowAfter, heard: p.loop.Now()}
 	p.follower.connect()
 	p.follower.watch()
 }
@@ -53,54 +79,143 @@
 	if addr == f.addr {
 		return
 	}
-	f.addr, f.pause = addr, refollowAfter
+	f.addr, f.pause, f.fruitless = addr, refollowAfter, 0
 	p.loop.Stop(f.again)
-	if f.conn != nil {
-		f.conn.Close()
-		f.conn = nil
+	for _, s := range f.streams {
+		s.conn.Close()
 	}
+	f.streams = nil
 	f.connect()
 }
 
+// silentFor is for how many milliseconds no whole line has come. Above the coordinator's 7 s the list may be out of date.
+func (f *follower) silentFor() int {
+	if f == nil {
+		return 0
+	}
+	return int((f.p.loop.Now() - f.heard).Milliseconds())
+}
+
+// connect opens one more stream.
 func (f *follower) connect() {
-	f.since, f.whole = f.p.loop.Now(), f.p.loop.Now()
-	conn, err := f.p.loop.Dial(f.addr, feedTimeout, f)
+	doubled := time.Duration(1) << min(f.fruitless, maxDoublings)
+	s := &stream{f: f, whole: f.p.loop.Now(), silence: silentAfter * doubled, line: lineAfter * doubled}
+	conn, err := f.p.loop.Dial(f.addr, min(feedTimeout*doubled, silentAfter), s)
 	if err != nil {
-		f.Closed(err)
+		f.lost(err)
 		return
 	}
-	f.conn = conn
+	s.conn = conn
+	f.streams = append(f.streams, s)
 	conn.Write(feed.Follow(f.last))
 }
 
-// watch notices a stream that has gone silent, as that of a machine that was cut off does, or that goes on without ever
-// ending a line: a drain in the middle of it would not be heeded.
+// stalled says that a stream is silent, as that of a machine that was cut off is, or goes on without ending a line: a
+// drain in the middle of it would not be heeded.
+func (s *stream) stalled() bool {
+	now := s.f.p.loop.Now()
+	return now-max(s.conn.Heard(), s.whole) > s.silence || now-s.whole > s.line
+}
+
+// watch opens a second stream when none brings whole lines, and makes room for the next when both do not.
 func (f *follower) watch() {
-	now := f.p.loop.Now()
-	if f.conn != nil && (now-max(f.conn.Heard(), f.since) > silentAfter || now-f.whole > lineAfter) {
-		f.conn.Close()
-		f.Closed(errSilent)
+	stalled := 0
+	for _, s := range f.streams {
+		if s.stalled() {
+			stalled++
+		}
+	}
+	switch {
+	case len(f.streams) == 0 || stalled < len(f.streams): // one is sound, or the next is about to be opened
+	case len(f.streams) == maxStreams:
+		f.fruitless++
+		f.drop(slices.MinFunc(f.streams, func(a, b *stream) int { return int(a.whole - b.whole) }))
+		f.connect()
+	default:
+		f.p.log.Warn("coordinator brings no whole line, followed on a second connection", "event", f.last)
+		f.fruitless++
+		f.connect()
 	}
 	f.p.loop.At(f.p.loop.Now()+silentAfter/10, f.watch)
 }
 
+// drop ends a stream.
+func (f *follower) drop(s *stream) {
+	s.conn.Close()
+	f.streams = slices.DeleteFunc(f.streams, func(other *stream) bool { return other == s })
+}
+
 // Receive takes whole lines off what has come in.
-func (f *follower) Receive(data []byte) (used int, err error) {
+func (s *stream) Receive(data []byte) (used int, err error) {
 	for {
 		n, line, err := feed.Next(data[used:])
+		if errors.Is(err, feed.ErrTooLong) { // to ask for it again would bring it again
+			s.skipping = true
+			return len(data), nil
+		}
 		if n == 0 || err != nil {
 			return used, err
 		}
 		used += n
-		f.whole = f.p.loop.Now()
-		ev, err := feed.Decode(line)
-		if err != nil {
+		if err := s.take(line); err != nil {
 			return used, err
 		}
-		if err := f.take(ev); err != nil {
-			return used, err
+		if s.conn.Ended() { // another stream has taken over
+			return used, nil
+		}
+	}
+}
+
+// take looks at one line.
+func (s *stream) take(line []byte) error {
+	f := s.f
+	if s.skipping {
+		s.skipping = false
+		f.passOver(len(line))
+		return nil
+	}
+	ev, err := feed.Decode(line)
+	if err != nil {
+		if !f.comesAgain(line) {
+			return err
+		}
+		f.passOver(len(line))
+		return nil
+	}
+	before := f.last
+	if err := f.take(ev); err != nil {
+		return err
+	}
+	s.whole, f.heard = f.p.loop.Now(), f.p.loop.Now()
+	f.pause, f.fruitless = refollowAfter, 0
+	s.silence, s.line = silentAfter, lineAfter
+	f.prefer(s, f.last > before)
+	return nil
+}
+
+// comesAgain says whether a line that can't be read has come before at the same place, and remembers it if not.
+func (f *follower) comesAgain(line []byte) bool {
+	if f.unreadable.after == f.last && bytes.Equal(f.unreadable.text, line) {
+		return true
+	}
+	f.unreadable = unreadableLine{text: bytes.Clone(line), after: f.last, over: f.unreadable.over}
+	return false
+}
+
+// passOver leaves out a line that can't be read: the events behind it are taken all the same.
+func (f *follower) passOver(size int) {
+	f.unreadable.over++
+	f.p.unreadable++
+	f.p.log.Error("coordinator's line can't be read and is passed over", "event", f.last, "bytes", size)
+}
+
+// prefer ends the other streams when one has brought a whole line: all of them when it was news, else those that have
+// nothing of a line.
+func (f *follower) prefer(s *stream, news bool) {
+	for _, other := range slices.Clone(f.streams) {
+		if other != s && (news || other.conn.Pending() == 0 || other.conn.Age() > lineAfter<<maxDoublings) {
+			f.drop(other)
 		}
-		f.pause = refollowAfter
 	}
 }
 
@@ -110,10 +225,10 @@
 	switch {
 	case ev.Index <= f.last:
 		return nil
-	case ev.Tick() || ev.Index > f.last+1:
+	case ev.Tick() && ev.Index > f.last+f.unreadable.over, ev.Index > f.last+f.unreadable.over+1:
 		return errGap
 	}
-	f.last = ev.Index
+	f.last, f.unreadable.over = ev.Index, 0
 	f.p.applyEvent(ev)
 	return nil
 }
@@ -124,89 +239,24 @@
 	return pause/2 + time.Duration(rng.Int64N(int64(pause/2)))
 }
 
-// Closed follows the stream anew, after a pause.
-func (f *follower) Closed(err error) {
-	f.conn = nil
-	if f.pause == refollowAfter { // one line for each outage
-		f.p.log.Warn("coordinator lost, followed again", "error", err, "event", f.last)
-	}
-	f.again = f.p.loop.At(f.p.loop.Now()+jitter(f.pause, f.p.rng), f.connect)
-	f.pause = min(2*f.pause, refollowAtMost)
-}
-
-// applyEvent passes one event of the coordinator on to the module and keeps the pools in step with it.
-func (p *Proxy) applyEvent(ev feed.Event) {
-	if v := ev.Evict; v != nil {
-		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
-		// Its age is counted back from the turn's time, as the module does. A process that was held up in this turn would
-		// else take the purge for older than it is, and ask for copies from before it.
-		age := time.Since(time.UnixMilli(v.At+1)) - p.loop.Lag()
-		purge := policy.Purge{Object: v.Object, Age: max(0, age)}
-		if v.Group != nil {
-			purge.Group = *v.Group
-		}
-		p.notify(purge)
-	}
-	if ev.Endpoints != nil {
-		p.applyServers(ev.Endpoints)
+// Closed follows anew unless another stream is there. A refused connect says nothing of how long one takes.
+func (s *stream) Closed(err error) {
+	f := s.f
+	f.streams = slices.DeleteFunc(f.streams, func(other *stream) bool { return other == s })
+	if errors.Is(err, net.ErrConnectTimeout) {
+		f.fruitless++
 	}
+	f.lost(err)
 }
 
-var states = map[string]policy.State{
-	feed.Serving: policy.Ready, feed.Draining: policy.Draining, feed.Deleted: policy.Gone,
-}
-
-func (p *Proxy) applyServers(list *feed.Endpoints) {
-	named := map[string]bool{}
-	members := policy.MemberList{Whole: list.Full}
-	for _, s := range list.Servers {
-		m, addr, err := p.member(s)
-		if err != nil {
-			// What can't be read can't be used, and it may have told of a drain.
-			p.log.Warn("server counts as gone", "server", s.ID, "error", err)
-			m.State = policy.Gone
-		}
-		named[s.ID] = m.State != policy.Gone
-		members.Members = append(members.Members, m)
-		p.place(m, s.Started, addr)
-	}
-	for id := range p.servers {
-		if live, told := named[id]; told && !live || !told && list.Full {
-			delete(p.servers, id)
-			p.pools.Retire(id)
-		}
-	}
-	p.notify(members)
-	if p.phase == Starting {
-		p.phase = Serving
-	}
-}
-
-// place tells the pools where a server is, and of its restarts.
-func (p *Proxy) place(m policy.Member, started int64, addr netip.AddrPort) {
-	if m.State == policy.Gone {
+// lost follows the coordinator anew, after a pause.
+func (f *follower) lost(err error) {
+	if len(f.streams) > 0 {
 		return
 	}
-	if before, known := p.servers[m.ID]; known && before != started {
-		p.pools.Refresh(m.ID)
-	}
-	p.servers[m.ID] = started
-	p.pools.Set(m.ID, addr)
-}
-
-// member decodes one entry of the list.
-func (p *Proxy) member(s feed.Server) (policy.Member, netip.AddrPort, error) {
-	m := policy.Member{
-		ID: s.ID, State: states[s.State], Started: time.Duration(s.Started) * time.Millisecond,
-		Kind: slices.Index(p.set.Kinds, s.Kind), Zone: slices.Index(p.set.Zones, s.Zone),
-		Weight: s.Weight, Cell: s.Cell,
-	}
-	if m.State == policy.Gone {
-		return m, netip.AddrPort{}, nil
-	}
-	if m.Kind < 0 || m.Zone < 0 {
-		return m, netip.AddrPort{}, errors.New("unknown kind or zone")
+	if f.pause == refollowAfter { // one line for each outage
+		f.p.log.Warn("coordinator lost, followed again", "error", err, "event", f.last)
 	}
-	addr, err := netip.ParseAddrPort(s.Addr)
-	return m, addr, err
+	f.again = f.p.loop.At(f.p.loop.Now()+jitter(f.pause, f.p.rng), f.connect)
+	f.pause = min(2*f.pause, refollowAtMost)
 }
--- /dev/null
+++ b/internal/proxy/membership.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"errors"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/policy"
+)
+
+// applyEvent passes one event of the coordinator on to the module and keeps the pools in step with it.
+func (p *Proxy) applyEvent(ev feed.Event) {
+	if v := ev.Evict; v != nil {
+		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
+		// Its age is counted back from the turn's time, as the module does. A process that was held up in this turn would
+		// else take the purge for older than it is, and ask for copies from before it.
+		age := time.Since(time.UnixMilli(v.At+1)) - p.loop.Lag()
+		if v.At == 0 { // not told
+			age = 0
+		}
+		p.purge(v, max(0, age))
+	}
+	if ev.Endpoints != nil {
+		p.applyServers(ev.Endpoints)
+	}
+	if ev.Unreadable > 0 {
+		p.unreadable += ev.Unreadable
+		p.log.Error("parts of an event can't be read: servers named in them count as gone", "event", ev.Index, "parts", ev.Unreadable)
+	}
+}
+
+// groups is how many groups of objects there are.
+const groups = 256
+
+// purge passes a purge on to the module. One of something that can't be read is one of every group.
+func (p *Proxy) purge(v *feed.Evict, age time.Duration) {
+	switch {
+	case v.Object != "":
+		p.notify(policy.Purge{Object: v.Object, Age: age})
+	case v.Group != nil:
+		p.notify(policy.Purge{Group: *v.Group, Age: age})
+	default:
+		for group := range groups {
+			p.notify(policy.Purge{Group: group, Age: age})
+		}
+	}
+}
+
+var states = map[string]policy.State{
+	feed.Serving: policy.Ready, feed.Draining: policy.Draining, feed.Deleted: policy.Gone,
+}
+
+func (p *Proxy) applyServers(list *feed.Endpoints) {
+	named := map[string]bool{}
+	members := policy.MemberList{Whole: list.Full}
+	for _, s := range list.Servers {
+		m, addr, err := p.member(s)
+		if err != nil {
+			// What can't be read can't be used, and it may have told of a drain.
+			p.log.Warn("server counts as gone", "server", s.ID, "error", err)
+			m.State = policy.Gone
+		}
+		named[s.ID] = m.State != policy.Gone
+		members.Members = append(members.Members, m)
+		p.place(m, s.Started, addr)
+	}
+	for id := range p.servers {
+		if live, told := named[id]; told && !live || !told && list.Full {
+			delete(p.servers, id)
+			p.pools.Retire(id)
+		}
+	}
+	p.notify(members)
+	if p.phase == Starting {
+		p.phase = Serving
+	}
+}
+
+// place tells the pools where a server is, and of its restarts.
+func (p *Proxy) place(m policy.Member, started int64, addr netip.AddrPort) {
+	if m.State == policy.Gone {
+		return
+	}
+	if before, known := p.servers[m.ID]; known && before != started {
+		p.pools.Refresh(m.ID)
+	}
+	p.servers[m.ID] = started
+	p.pools.Set(m.ID, addr)
+}
+
+// member decodes one entry of the list.
+func (p *Proxy) member(s feed.Server) (policy.Member, netip.AddrPort, error) {
+	m := policy.Member{
+		ID: s.ID, State: states[s.State], Started: time.Duration(s.Started) * time.Millisecond,
+		Kind: slices.Index(p.set.Kinds, s.Kind), Zone: slices.Index(p.set.Zones, s.Zone),
+		Weight: s.Weight, Cell: s.Cell,
+	}
+	if m.State == policy.Gone {
+		return m, netip.AddrPort{}, nil
+	}
+	if m.Kind < 0 || m.Zone < 0 {
+		return m, netip.AddrPort{}, errors.New("unknown kind or zone")
+	}
+	addr, err := netip.ParseAddrPort(s.Addr)
+	return m, addr, err
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,6 +79,7 @@
 	accepted, invalid int // configurations read again
 	logDropped        func() int64
 	loader            loader
+	unreadable        int // parts of the coordinator's events that could not be read
 }
 
 // request is one client request until its answer is given and its last attempt has ended.
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -80,6 +80,8 @@
 		{"cfg_accepted", p.accepted},
 		{"cfg_invalid", p.invalid},
 		{"log_lines_dropped", p.droppedLines()},
+		{"registry_unreadable", p.unreadable},
+		{"registry_silent_ms", p.follower.silentFor()},
 	} {
 		fmt.Fprintf(&b, "svc_%s %d\n", figure.name, figure.value)
 	}
