Failing tests of requests that were read and are closed with no answer

Need: a request that was read whole is owed its answer, whatever follows it on its connection and when memory runs out.

--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -83,6 +83,87 @@
 	}
 }
 
+// What was read whole is owed its answer, whatever comes behind it on the same connection.
+func TestWholeRequestBeforeAMalformedRecord(t *testing.T) {
+	w := newWorld(t)
+	for name, rest := range map[string]string{
+		"version":         "GET / HTTP/1.1\r\n\r\n",
+		"begun twice":     "\x01\x01\x00\x01\x00\x08\x00\x00\x00\x01\x01\x00\x00\x00\x00\x00",
+		"length of BEGIN": "\x01\x01\x00\x09\x00\x00\x00\x00",
+	} {
+		c := w.dial()
+		out := &batch{Conn: c.Conn}
+		(&client{Conn: out}).ask(1, "registro", longWait, 1, "x")
+		(&client{Conn: out}).ask(2, "artes", longWait, 1, "")
+		out.out = append(out.out, rest...)
+		(&client{Conn: out}).ask(3, "artes", longWait, 1, "") // is not read any more
+		out.flush()
+		receive(t, w.origin.calls, name+": call").answer("served", "-", "written")
+		receive(t, w.cache.calls, name+": call").answer("served", "-", "read")
+		answers := map[uint16]string{}
+		for range 3 {
+			a := receive(t, c.answers, name+": answer")
+			answers[a.id] = a.body
+		}
+		if answers[1] != "written" || answers[2] != "read" || len(answers) != 3 || len(w.cache.calls) != 0 {
+			t.Errorf("%s: %v", name, answers)
+		}
+	}
+}
+
+// A request that breaks a limit of its own is refused; the connection and its other requests go on.
+func TestRequestOverItsOwnLimitIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	for _, name := range []string{"body", "params"} {
+		c := w.dial()
+		c.record(1, 2, "\x00\x01\x01\x00\x00\x00\x00\x00")
+		if name == "body" {
+			c.record(5, 2, strings.Repeat("x", 40_000))
+			c.record(5, 2, strings.Repeat("x", 40_000))
+		} else {
+			c.record(4, 2, strings.Repeat("x", 20_000))
+		}
+		if a := receive(t, c.answers, name+": refusal"); a.id != 2 || a.status != "503" {
+			t.Errorf("%s: %+v", name, a)
+		}
+		c.record(5, 2, "") // the rest of it is passed over
+		c.ask(3, "artes", longWait, 1, "")
+		if a := receive(t, c.answers, name+": answer"); a.id != 3 || a.body != "fine" {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+}
+
+// When memory runs out, what was read whole still gets its answer, and no connection is reset.
+func TestMemoryFullOfHalfRequests(t *testing.T) {
+	const clients = 200
+	w := prepare(t)
+	w.memory = 16
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	w.awaitAlive("200")
+	var all []*client
+	for i := range clients {
+		c := w.dial()
+		c.ask(1, "artes", longWait, i, "")
+		c.record(1, 2, "\x00\x01\x01\x00\x00\x00\x00\x00")
+		c.record(5, 2, strings.Repeat("x", 60_000))
+		all = append(all, c)
+	}
+	w.cache.serve("served", "-", "fine")
+	for i, c := range all {
+		for {
+			a := receive(t, c.answers, "answer")
+			if a.id == 0 {
+				t.Fatalf("client %d: closed with no answer", i)
+			}
+			if a.id == 1 {
+				break
+			}
+		}
+	}
+}
+
 // A client that reads nothing neither holds up the others nor costs memory without bound.
 func TestClientThatDoesNotRead(t *testing.T) {
 	w := newWorld(t)
