Answer what was read whole before a connection that can't be read any more is closed

Cause: an error of the codec, or errFull, went up through Conn.handOver to Conn.fail, which closes at once; clientConn.Closed then abandoned what was open. A body or parameters over their limit, and one request too many, were errors of the connection.

Change: after such an error the connection is not read any more (Conn.StopReading), its whole requests are served, their answers written, and then it is closed; its end is still heard. Where memory ran out, requests that came in part are turned away as overloaded.

--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 )
 
@@ -55,9 +57,16 @@
 	Body     []byte
 }
 
-// Event is what a connection's bytes meant: *Request, Abort or Reply.
+// Event is what a connection's bytes meant: *Request, Rejected, Abort or Reply.
 type Event interface{}
 
+// Rejected is a request that breaks a limit of its own. The rest of it is passed over; the connection goes on.
+type Rejected struct {
+	ID       uint16
+	KeepConn bool
+	Err      error
+}
+
 // Abort says that the client has given up a request.
 type Abort struct{ ID uint16 }
 
@@ -67,14 +76,15 @@
 	Close bool // the client asked for the connection to be closed after this
 }
 
-// Errors that end a connection.
+// Errors after which nothing more can be read from a connection.
 var (
 	ErrVersion = errors.New("fastcgi: not version 1")
-	ErrTooBig  = errors.New("fastcgi: request exceeds its limit")
-	ErrTooMany = errors.New("fastcgi: too many open requests on one connection")
 	ErrRecord  = errors.New("fastcgi: malformed record")
 )
 
+// ErrTooBig says why a request was rejected.
+var ErrTooBig = errors.New("fastcgi: request exceeds its limit")
+
 type partial struct {
 	req        Request
 	params     []byte
@@ -94,6 +104,14 @@
 // Held is how many bytes of requests that have not come whole the decoder keeps.
 func (d *Decoder) Held() int { return d.held }
 
+// Drop forgets the requests that have come in part, and returns their numbers.
+func (d *Decoder) Drop() []uint16 {
+	numbers := slices.Sorted(maps.Keys(d.open))
+	clear(d.open)
+	d.held = 0
+	return numbers
+}
+
 // Receiving says whether a request has come in part.
 func (d *Decoder) Receiving() bool { return len(d.open) > 0 }
 
@@ -150,10 +168,10 @@
 	if d.open[id] != nil || d.answered[id] {
 		return nil, fmt.Errorf("%w: request %d begun twice", ErrRecord, id)
 	}
+	keep := content[2]&flagKeepConn != 0
 	if len(d.open)+len(d.answered) >= maxOpen {
-		return nil, ErrTooMany
+		return Reply{Data: AppendEnd(nil, id, 0, Overloaded), Close: !keep}, nil
 	}
-	keep := content[2]&flagKeepConn != 0
 	if role := binary.BigEndian.Uint16(content); role != roleResponder {
 		return Reply{Data: AppendEnd(nil, id, 0, UnknownRole), Close: !keep}, nil
 	}
@@ -178,10 +196,17 @@
 	return nil, nil
 }
 
+// reject drops a request that is over a limit. What still comes of it belongs to no open request.
+func (d *Decoder) reject(p *partial) Rejected {
+	delete(d.open, p.req.ID)
+	d.held -= len(p.params) + len(p.req.Body)
+	return Rejected{ID: p.req.ID, KeepConn: p.req.KeepConn, Err: ErrTooBig}
+}
+
 func (d *Decoder) addParams(p *partial, content []byte) (Event, error) {
 	if len(content) > 0 {
 		if p.paramsDone || len(p.params)+len(content) > maxParams {
-			return nil, ErrTooBig
+			return d.reject(p), nil
 		}
 		p.params = append(p.params, content...)
 		d.held += len(content)
@@ -200,7 +225,7 @@
 func (d *Decoder) addBody(p *partial, content []byte) (Event, error) {
 	if len(content) > 0 {
 		if len(p.req.Body)+len(content) > maxBody {
-			return nil, ErrTooBig
+			return d.reject(p), nil
 		}
 		p.req.Body = append(p.req.Body, content...)
 		d.held += len(content)
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -62,6 +62,7 @@
 	closed  bool
 	dirty   bool
 	closing bool          // no more is taken either way; closed when the peer has closed too
+	deaf    bool          // no more is read, until it is closing
 	rdhup   bool          // the peer has been seen to send no more
 	eof     bool          // and all that it sent has been handed over
 	came    Clock         // an accepted connection was made after this; 0: not known
@@ -150,6 +151,18 @@
 	})
 }
 
+// StopReading leaves what still comes unread, and drops what has not been used yet. The peer's end is still heard, and what
+// it is owed is written.
+func (c *Conn) StopReading() {
+	if c.Ended() {
+		return
+	}
+	c.deaf = true
+	c.loop.held -= len(c.in)
+	c.in = nil
+	c.scheduleFlush() // which asks epoll anew
+}
+
 func (c *Conn) fail(err error) {
 	if c.closed {
 		return
@@ -169,12 +182,12 @@
 	half, isHalf := c.handler.(HalfCloser)
 	switch {
 	case !c.up || c.closed:
-	case c.eof && events&broken != 0, isHalf && events&unix.EPOLLERR != 0:
+	case (c.eof || c.deaf) && events&broken != 0, isHalf && events&unix.EPOLLERR != 0:
 		c.fail(unix.ECONNRESET) // what it sent before is not wanted any more
 	case isHalf && !c.closing && events&unix.EPOLLRDHUP != 0:
 		c.peerClosing(half)
 	}
-	if c.up && !c.closed && !c.eof && events&(unix.EPOLLIN|unix.EPOLLRDHUP|broken) != 0 {
+	if c.up && !c.closed && !c.eof && (!c.deaf || c.closing) && events&(unix.EPOLLIN|unix.EPOLLRDHUP|broken) != 0 {
 		c.receive()
 	}
 	if c.up && !c.closed && events&unix.EPOLLOUT != 0 {
@@ -214,7 +227,7 @@
 		if !c.closing { // else it crossed the close
 			c.take(c.loop.read[:n])
 		}
-		if c.closed || n < len(c.loop.read) {
+		if c.closed || c.deaf && !c.closing || n < len(c.loop.read) {
 			return
 		}
 	}
@@ -261,6 +274,9 @@
 		c.fail(err)
 		return
 	}
+	if c.deaf {
+		return
+	}
 	rest := data[used:]
 	c.loop.held += len(rest) - len(c.in)
 	if used > 0 || len(c.in) == 0 {
@@ -276,8 +292,12 @@
 	events := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
 	if c.eof {
 		events = 0
-	} else if c.rdhup || c.closing {
+	} else if c.closing || c.rdhup && !c.deaf {
 		events = unix.EPOLLIN
+	} else if c.deaf && c.rdhup {
+		events = 0
+	} else if c.deaf {
+		events = unix.EPOLLRDHUP
 	}
 	if !c.up || len(c.queue) > 0 {
 		events |= unix.EPOLLOUT
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 // clientConn is one connection of a client.
 type clientConn struct {
 	front   *Front
+	number  int64 // of the connection, in the log
 	conn    *net.Conn
 	decoder fastcgi.Decoder
 	open    map[uint16]int64 // the proxy's number of each open request
@@ -64,6 +66,13 @@
 func (c *clientConn) Receive(data []byte) (used int, err error) {
 	asked := c.asked
 	used, err = c.records(data)
+	if err == nil && c.front.p.held() > 2*c.front.p.maxHeld {
+		err = errFull
+	}
+	if err != nil {
+		c.stopReading(err)
+		return len(data), nil
+	}
 	c.recount()
 	switch unfinished := used < len(data) || c.decoder.Receiving(); {
 	case !unfinished && c.asked > 0:
@@ -71,10 +80,23 @@
 	case c.incompleteSince == 0 || c.asked > asked:
 		c.incompleteSince = c.front.p.loop.Now()
 	}
-	if err == nil && c.front.p.held() > 2*c.front.p.maxHeld {
-		err = errFull // unfinished requests can't be refused one by one
+	return used, nil
+}
+
+// stopReading leaves the rest of what the client sends unread: it can't be read, or there is no memory for it. What came
+// whole is owed its answer; the connection is closed after the last one.
+func (c *clientConn) stopReading(err error) {
+	c.front.p.log.Warn("client's connection is not read any more", "connection", c.number, "error", err, "open", len(c.open))
+	c.conn.StopReading()
+	c.last = true
+	c.incompleteSince = 0
+	for _, id := range c.decoder.Drop() {
+		if errors.Is(err, errFull) {
+			c.conn.Write(fastcgi.AppendEnd(nil, id, 0, fastcgi.Overloaded))
+		}
 	}
-	return used, err
+	c.recount()
+	c.closeIfLast()
 }
 
 // count keeps the proxy's sum of unfinished requests. A connection may be closed while what it brought is being
@@ -105,6 +127,10 @@
 		switch ev := ev.(type) {
 		case *fastcgi.Request:
 			c.request(ev)
+		case fastcgi.Rejected:
+			c.asked++
+			c.last = c.last || !ev.KeepConn
+			(&responder{conn: c, id: ev.ID}).write(fastcgi.Response{Status: 503, Body: []byte(ev.Err.Error() + "\n")})
 		case fastcgi.Abort:
 			c.abort(ev.ID)
 		case fastcgi.Reply:
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -48,6 +48,7 @@
 	conns    map[*clientConn]bool
 	parking  map[*clientConn]bool // those with parked requests
 	most     int
+	accepted int64 // connections so far
 }
 
 // Listen opens the front for clients on addr.
@@ -110,7 +111,8 @@
 }
 
 func (f *Front) accept(c *net.Conn) net.Handler {
-	cc := &clientConn{front: f, conn: c, open: map[uint16]int64{}, incompleteSince: f.p.loop.Now()}
+	f.accepted++
+	cc := &clientConn{front: f, number: f.accepted, conn: c, open: map[uint16]int64{}, incompleteSince: f.p.loop.Now()}
 	f.conns[cc] = true
 	return cc
 }
