A table of system calls for tests to break, and what fails then

Need: system calls fail in every way that Linux documents, and tests could not make them.

Change: internal/net makes its calls by the table System; tests put failing ones in, shipped programs never change it.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -91,7 +91,7 @@
 // have waited for longer than the peer would take for a crossing: the process does not always have its core.
 func (c *Conn) Unread() bool {
 	var first [1]byte
-	n, _, err := unix.Recvfrom(c.fd, first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := System.Peek(c.fd, first[:])
 	return err == nil && n > 0
 }
 
@@ -127,7 +127,7 @@
 		c.fail(io.EOF)
 		return
 	}
-	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
+	if err := System.Shutdown(c.fd, unix.SHUT_WR); err != nil {
 		c.fail(fmt.Errorf("shutdown: %w", err))
 		return
 	}
@@ -213,7 +213,7 @@
 // further on what it asks for first.
 func (c *Conn) receive() {
 	for range mostReads {
-		n, err := unix.Read(c.fd, c.loop.read)
+		n, err := System.Read(c.fd, c.loop.read)
 		switch {
 		case err != nil && retry(err):
 			return
--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -11,7 +11,7 @@
 
 // connected looks at how a connect ended.
 func (c *Conn) connected() {
-	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	code, err := System.GetOption(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
 	if err == nil && code != 0 {
 		err = unix.Errno(code)
 	}
@@ -19,7 +19,7 @@
 		c.fail(err)
 		return
 	}
-	if _, err := unix.Getpeername(c.fd); err != nil {
+	if err := System.PeerName(c.fd); err != nil {
 		return // not yet
 	}
 	c.loop.Stop(c.timeout)
@@ -35,7 +35,7 @@
 		return nil, err
 	}
 	c := &Conn{loop: l, fd: fd, handler: h, events: unix.EPOLLOUT, since: l.now, heard: l.now, wrote: l.now}
-	err = unix.Connect(fd, sockaddr(addr))
+	err = System.Connect(fd, sockaddr(addr))
 	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd) //nolint:errcheck // the connect's error is what counts
 		return nil, fmt.Errorf("%w: connect %s: %w", ErrConnect, addr, err)
@@ -53,11 +53,11 @@
 	if addr.Addr().Is6() {
 		family = unix.AF_INET6
 	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := System.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return -1, fmt.Errorf("socket: %w", err)
 	}
-	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
+	if err := System.SetOption(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
 		unix.Close(fd) //nolint:errcheck // the first error is what counts
 		return -1, fmt.Errorf("setsockopt: %w", err)
 	}
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -86,7 +86,7 @@
 			ln.pause()
 			return
 		}
-		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := System.Accept(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOMEM):
 			ln.pause()
@@ -127,8 +127,8 @@
 	}
 	c.handler = ln.accept(c)
 	err := errors.Join(
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
-		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
+		System.SetOption(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
+		System.SetOption(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
 		l.add(fd, c.events, c))
 	if err != nil {
 		c.fail(err)
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -80,7 +80,7 @@
 	}
 	most = l.clock.Nap(max(most, 0))
 	millis := int((most + time.Millisecond - 1) / time.Millisecond)
-	n, err := unix.EpollWait(l.epoll, l.events, millis)
+	n, err := System.Wait(l.epoll, l.events, millis)
 	if err != nil && !errors.Is(err, unix.EINTR) {
 		return fmt.Errorf("epoll_wait: %w", err)
 	}
@@ -109,7 +109,7 @@
 }
 
 func (l *Loop) add(fd int, events uint32, p pollable) error {
-	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
+	if err := System.Control(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
 		return fmt.Errorf("epoll_ctl: %w", err)
 	}
 	l.fds[fd] = p
@@ -117,7 +117,7 @@
 }
 
 func (l *Loop) change(fd int, events uint32) error {
-	return unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+	return System.Control(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
 }
 
 // remove closes fd, which takes it out of epoll too.
--- a/internal/net/output.go
+++ b/internal/net/output.go
@@ -119,7 +119,7 @@
 		}
 		data = made
 	}
-	n, err := unix.Write(c.fd, data)
+	n, err := System.Write(c.fd, data)
 	if err != nil && !retry(err) {
 		return false, fmt.Errorf("write: %w", err)
 	}
--- /dev/null
+++ b/internal/net/system_test.go
@@ -0,0 +1,240 @@
+package net
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// substitute puts calls in for one test.
+func substitute(t *testing.T, change func(*SystemCalls)) {
+	t.Helper()
+	before := System
+	t.Cleanup(func() { System = before })
+	change(&System)
+}
+
+// echo answers with what it gets, and ends with its peer.
+type echo struct {
+	conn   *Conn
+	ended  error
+	passed []byte
+}
+
+func (e *echo) Receive(data []byte) (int, error) {
+	e.passed = append(e.passed, data...)
+	e.conn.Write(append([]byte(nil), data...))
+	return len(data), nil
+}
+
+func (e *echo) Closed(err error) { e.ended = err }
+
+// turns runs a loop until done, for a second at most, and returns how many turns that took.
+func turns(t *testing.T, loop *Loop, done func() bool) (count int) {
+	t.Helper()
+	for end := time.Now().Add(time.Second); !done() && time.Now().Before(end); count++ {
+		if err := loop.Wait(10 * time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		loop.Flush()
+	}
+	return count
+}
+
+// failTimes fails a call so often, then lets it through.
+func failTimes(times int, code unix.Errno, real func() error) error {
+	if times > 0 {
+		return code
+	}
+	return real()
+}
+
+// A client that connects while a call fails is served once it works again, and the loop does not spin meanwhile.
+func TestClientIsServedThoughCallsFail(t *testing.T) {
+	const failing = 3
+	failures := map[string]func(*SystemCalls, *int, unix.Errno){
+		"accept": func(s *SystemCalls, calls *int, code unix.Errno) {
+			real := s.Accept
+			s.Accept = func(fd, flags int) (accepted int, err error) {
+				*calls++
+				err = failTimes(failing+1-*calls, code, func() error { accepted, err = real(fd, flags); return err })
+				return accepted, err
+			}
+		},
+		"setsockopt": func(s *SystemCalls, calls *int, code unix.Errno) {
+			real := s.SetOption
+			s.SetOption = func(fd, level, option, value int) error {
+				*calls++
+				return failTimes(failing+1-*calls, code, func() error { return real(fd, level, option, value) })
+			}
+		},
+		"epoll_ctl": func(s *SystemCalls, calls *int, code unix.Errno) {
+			real := s.Control
+			s.Control = func(epoll, operation, fd int, event *unix.EpollEvent) error {
+				*calls++
+				return failTimes(failing+1-*calls, code, func() error { return real(epoll, operation, fd, event) })
+			}
+		},
+		"read": func(s *SystemCalls, calls *int, code unix.Errno) {
+			real := s.Read
+			s.Read = func(fd int, data []byte) (n int, err error) {
+				*calls++
+				err = failTimes(failing+1-*calls, code, func() error { n, err = real(fd, data); return err })
+				return n, err
+			}
+		},
+		"write": func(s *SystemCalls, calls *int, code unix.Errno) {
+			real := s.Write
+			s.Write = func(fd int, data []byte) (n int, err error) {
+				*calls++
+				err = failTimes(failing+1-*calls, code, func() error { n, err = real(fd, data); return err })
+				return n, err
+			}
+		},
+	}
+	codes := map[string][]unix.Errno{
+		"accept": {unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENETDOWN, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT,
+			unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPERM},
+		"setsockopt": {unix.ENOBUFS, unix.ENOMEM},
+		"epoll_ctl":  {unix.ENOMEM, unix.ENOSPC},
+		"read":       {unix.EINTR, unix.ENOBUFS, unix.ENOMEM},
+		"write":      {unix.EINTR, unix.ENOBUFS, unix.ENOMEM},
+	}
+	for call, fail := range failures {
+		for _, code := range codes[call] {
+			t.Run(call+" "+code.Error(), func(t *testing.T) {
+				loop, err := NewLoop(SystemClock())
+				if err != nil {
+					t.Fatal(err)
+				}
+				var server *echo
+				ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func() bool { return true }, func(c *Conn) Handler {
+					server = &echo{conn: c}
+					return server
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer ln.Close()
+				name, _ := unix.Getsockname(ln.fd)
+				client, err := net.Dial("tcp", netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port)).String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer client.Close()
+				client.Write([]byte("hello")) //nolint:errcheck // shows in the echo
+				calls := 0
+				substitute(t, func(s *SystemCalls) { fail(s, &calls, code) })
+				answered := make(chan error, 1)
+				go func() {
+					client.SetReadDeadline(time.Now().Add(time.Second)) //nolint:errcheck // shows in the read
+					_, err := client.Read(make([]byte, 5))
+					answered <- err
+				}()
+				took := turns(t, loop, func() bool { return len(answered) > 0 })
+				if err := <-answered; err != nil {
+					t.Errorf("%v; the connection ended with %v", err, server)
+				}
+				if calls <= failing && call != "epoll_ctl" {
+					t.Errorf("%d calls", calls)
+				}
+				if took > 100 {
+					t.Errorf("%d turns", took)
+				}
+			})
+		}
+	}
+}
+
+// A listener that rested, also because accepting fails again and again, comes back though epoll refuses that at first.
+func TestListenerComesBack(t *testing.T) {
+	loop, err := NewLoop(SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var server *echo
+	room := false
+	ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func() bool { return room }, func(c *Conn) Handler {
+		server = &echo{conn: c}
+		return server
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	name, _ := unix.Getsockname(ln.fd)
+	client, err := net.Dial("tcp", netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port)).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	refused := 0
+	substitute(t, func(s *SystemCalls) {
+		real := s.Control
+		s.Control = func(epoll, operation, fd int, event *unix.EpollEvent) error {
+			if fd == ln.fd && event.Events != 0 && refused < 3 {
+				refused++
+				return unix.ENOMEM
+			}
+			return real(epoll, operation, fd, event)
+		}
+	})
+	turns(t, loop, func() bool { return refused > 0 })
+	room = true
+	calls := 0
+	accept := System.Accept
+	System.Accept = func(int, int) (int, error) { calls++; return -1, unix.ENOBUFS }
+	for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end); {
+		turns(t, loop, func() bool { return !time.Now().Before(end) })
+	}
+	if calls > 10 {
+		t.Errorf("%d calls in 100 ms", calls)
+	}
+	System.Accept = accept
+	turns(t, loop, func() bool { return server != nil })
+	if server == nil {
+		t.Error("nobody is let in any more")
+	}
+}
+
+// An answer that had come before a write fails is read first: it tells more than the loss of its connection.
+func TestAnswerIsReadBeforeAFailedWriteCounts(t *testing.T) {
+	for _, code := range []unix.Errno{unix.EPIPE, unix.ECONNRESET, unix.ETIMEDOUT, unix.EHOSTUNREACH} {
+		loop, err := NewLoop(SystemClock())
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer peer.Close()
+		caller := &echo{}
+		caller.conn, err = loop.Dial(netip.MustParseAddrPort(peer.Addr().String()), time.Second, caller)
+		if err != nil {
+			t.Fatal(err)
+		}
+		turns(t, loop, caller.conn.Up)
+		other, err := peer.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer other.Close()
+		if _, err := other.Write([]byte("answer")); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(time.Second); !caller.conn.Unread() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		substitute(t, func(s *SystemCalls) { s.Write = func(int, []byte) (int, error) { return -1, code } })
+		caller.conn.Write([]byte("another call"))
+		loop.Flush()
+		if string(caller.passed) != "answer" || !errors.Is(caller.ended, code) {
+			t.Errorf("%v: %q was read before the end by %v", code, caller.passed, caller.ended)
+		}
+	}
+}
