Keep clients, listeners and answers when system calls fail

Cause: Listener.take closed the client when setsockopt or epoll_ctl failed; Conn.watch, receive and writeFirst took ENOBUFS and ENOMEM for the end of the connection; Listener.pause gave up its timer, or its only try to come back, when epoll_ctl failed, and returned without a pause on ENOBUFS, EPERM and others, which spins; flush failed a connection without reading what had come; Loop.Wait ended the program on any error but EINTR.

Errors of accept that concern one connection are passed over, 64 in a row at most, all others make the listener rest. An upstream connection is read before a failed write counts. ErrLocal marks what this machine lacks. One look at what is ready takes 4,096 descriptors, so that the coordinator is heard in the same turn. A request that waited to be accepted, or behind what one turn reads, has that time taken off its wait (TCP_INFO; Conn.Waited).

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -44,32 +44,37 @@
 	mostJoined = 16 << 10 // bytes up to which small outputs are kept as one: each apart would cost more than it holds
 	mostReads  = 16       // of one connection in one turn, while each fills the buffer
 
+	retryPause = 20 * time.Millisecond  // before a call that failed for lack of memory is tried again
 	lingerFor  = 200 * time.Millisecond // how long the peer's end of a closed connection is waited for
 	lingerMost = 10 * time.Second       // and how long at most, while it still takes what it is owed
 )
 
 // Conn is one non-blocking TCP connection.
 type Conn struct {
-	loop    *Loop
-	fd      int
-	handler Handler
-	in      []byte
-	queue   []output
-	queued  int // bytes in queue
-	events  uint32
-	timeout *Timer // of the connect
-	up      bool
-	closed  bool
-	dirty   bool
-	closing bool          // no more is taken either way; closed when the peer has closed too
-	deaf    bool          // no more is read, until it is closing
-	rdhup   bool          // the peer has been seen to send no more
-	eof     bool          // and all that it sent has been handed over
-	came    Clock         // an accepted connection was made after this; 0: not known
-	since   Clock         // when it was begun or accepted
-	took    time.Duration // to come up
-	heard   Clock
-	wrote   Clock
+	loop       *Loop
+	fd         int
+	handler    Handler
+	in         []byte
+	queue      []output
+	queued     int // bytes in queue
+	events     uint32
+	timeout    *Timer // of the connect
+	up         bool
+	closed     bool
+	dirty      bool
+	closing    bool          // no more is taken either way; closed when the peer has closed too
+	deaf       bool          // no more is read, until it is closing
+	registered bool          // with epoll
+	rdhup      bool          // the peer has been seen to send no more
+	eof        bool          // and all that it sent has been handed over
+	came       Clock         // an accepted connection was made after this; 0: not known
+	since      Clock         // when it was begun or accepted
+	queuedLong bool          // it may have waited to be accepted
+	cut        Clock         // when the last turn left something unread; 0: it did not
+	waited     time.Duration // see Waited
+	took       time.Duration // to come up
+	heard      Clock
+	wrote      Clock
 }
 
 // Up says whether the connection has been made.
@@ -92,7 +97,10 @@
 func (c *Conn) Unread() bool {
 	var first [1]byte
 	n, err := System.Peek(c.fd, first[:])
-	return err == nil && n > 0
+	if err != nil {
+		return retry(err) && !errors.Is(err, unix.EAGAIN) // it is not known
+	}
+	return n > 0
 }
 
 // Close ends the connection at once. Its handler is not called any more.
@@ -209,9 +217,37 @@
 	half.PeerClosing(after)
 }
 
+// Waited is for how long what is being handed over may have waited to be read, besides the time between two turns: in the
+// queue of connections to accept, or behind what one turn reads of a connection.
+func (c *Conn) Waited() time.Duration { return c.waited }
+
+// measureWait works out Waited for what is about to be read.
+func (c *Conn) measureWait() {
+	switch {
+	case c.queuedLong:
+		c.queuedLong = false
+		c.waited = sinceLastData(c.fd)
+	case c.cut != 0:
+		c.waited = c.loop.now - c.cut
+	default:
+		c.waited = 0
+	}
+}
+
+// sinceLastData is how long ago the last segment with data came; 0 where the system does not tell.
+func sinceLastData(fd int) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // receive takes what has come. A connection that brings much is read on, within bounds: a client may have taken back
 // further on what it asks for first.
 func (c *Conn) receive() {
+	c.measureWait()
+	c.cut = 0
 	for range mostReads {
 		n, err := System.Read(c.fd, c.loop.read)
 		switch {
@@ -231,6 +267,7 @@
 			return
 		}
 	}
+	c.cut = c.loop.now
 }
 
 // end takes the peer's end of a conversation.
@@ -284,8 +321,6 @@
 	}
 }
 
-func retry(err error) bool { return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) }
-
 // watch asks epoll for what the connection waits for: input and the peer's end, until that has come, and room for
 // output. Input is waited for also when the peer leaves ours unread: it may take back what it asked for, or leave.
 func (c *Conn) watch() {
@@ -305,8 +340,16 @@
 	if events == c.events {
 		return
 	}
-	if err := c.loop.change(c.fd, events); err != nil {
-		c.fail(err)
+	if !c.registered { // register brings them
+		c.events = events
+		return
+	}
+	if err := c.loop.change(c.fd, events); err != nil { // for lack of memory; what it waits for now still wakes it
+		c.loop.At(c.loop.now+retryPause, func() {
+			if !c.closed {
+				c.watch()
+			}
+		})
 		return
 	}
 	c.events = events
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -13,6 +13,9 @@
 // connections that wait would else wake the loop without end.
 const acceptPause = 20 * time.Millisecond
 
+// mostAborted is how many connections in a row may turn out to be gone before the listener rests.
+const mostAborted = 64
+
 // Listener accepts connections.
 type Listener struct {
 	loop   *Loop
@@ -20,6 +23,7 @@
 	room   func() bool
 	accept func(*Conn) Handler
 	closed bool
+	paused bool
 	behind bool // connections have been left waiting: it is not known since when
 }
 
@@ -28,7 +32,7 @@
 func (l *Loop) Listen(addr netip.AddrPort, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
 	fd, err := socket(addr)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
 	err = errors.Join(
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1),
@@ -81,25 +85,32 @@
 
 func (ln *Listener) ready(uint32) {
 	defer func() { ln.behind = !ln.closed && ln.waiting() }()
-	for !ln.closed && ln.waiting() {
-		if !ln.room() {
+	for failures := 0; !ln.closed && ln.waiting(); {
+		if failures == mostAborted || !ln.room() {
 			ln.pause()
 			return
 		}
 		fd, err := System.Accept(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
-		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOMEM):
-			ln.pause()
+		case err == nil:
+			ln.take(fd)
+		case errors.Is(err, unix.EAGAIN): // another process took it
 			return
-		case errors.Is(err, unix.ECONNABORTED), errors.Is(err, unix.EINTR):
-			continue
-		case err != nil:
+		case isAborted(err):
+			failures++
+		default:
+			ln.pause()
 			return
 		}
-		ln.take(fd)
 	}
 }
 
+// isAborted reports errors of accept that concern one connection alone, which is gone by then: the next one may be sound.
+func isAborted(err error) bool {
+	return isAny(err, unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENETDOWN, unix.ENOPROTOOPT, unix.EHOSTDOWN, unix.ENONET,
+		unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ETIMEDOUT)
+}
+
 // waiting says whether a connection waits to be accepted: room must not be made for none. Another process that shares
 // the socket may have taken the one that woke this one.
 func (ln *Listener) waiting() bool {
@@ -108,29 +119,60 @@
 	return err == nil && n > 0
 }
 
+// pause leaves connections waiting for a while. The timer comes back until the listener is watched again: nobody would be
+// let in otherwise.
 func (ln *Listener) pause() {
-	if err := ln.loop.change(ln.fd, 0); err != nil {
+	ln.loop.change(ln.fd, 0) //nolint:errcheck // it is woken more often then
+	if !ln.paused {
+		ln.paused = true
+		ln.loop.At(ln.loop.now+acceptPause, ln.resume)
+	}
+}
+
+func (ln *Listener) resume() {
+	ln.paused = false
+	if ln.closed {
 		return
 	}
-	ln.loop.At(ln.loop.now+acceptPause, func() {
-		if !ln.closed {
-			ln.loop.change(ln.fd, unix.EPOLLIN) //nolint:errcheck // a live listener's descriptor is in epoll
-		}
-	})
+	if err := ln.loop.change(ln.fd, unix.EPOLLIN); err != nil {
+		ln.pause()
+	}
 }
 
 func (ln *Listener) take(fd int) {
 	l := ln.loop
 	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN | unix.EPOLLRDHUP, since: l.now, heard: l.now, wrote: l.now}
+	c.queuedLong = ln.behind
 	if !ln.behind {
 		c.came = l.lastPoll
 	}
 	c.handler = ln.accept(c)
+	c.setOptions()
+	c.register()
+}
+
+// setOptions has small answers sent at once, and vanished clients noticed. A client is not turned away because that fails: it
+// may have asked already.
+func (c *Conn) setOptions() {
+	if c.closed {
+		return
+	}
 	err := errors.Join(
-		System.SetOption(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
-		System.SetOption(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
-		l.add(fd, c.events, c))
-	if err != nil {
-		c.fail(err)
+		System.SetOption(c.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1),
+		System.SetOption(c.fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1))
+	if isLocal(err) {
+		c.loop.At(c.loop.now+retryPause, c.setOptions)
+	}
+}
+
+// register has epoll watch an accepted connection, as soon as there is memory for it.
+func (c *Conn) register() {
+	if c.closed {
+		return
+	}
+	if err := c.loop.add(c.fd, c.events, c); err != nil {
+		c.loop.At(c.loop.now+retryPause, c.register)
+		return
 	}
+	c.registered = true
 }
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -28,11 +28,19 @@
 	held      int     // bytes held in all buffers and queues
 	read      []byte  // shared by all reads
 	events    []unix.EpollEvent
+	failures  int // of the wait, in a row
 }
 
 // readSize is how much one connection may bring in one turn: none holds up the others.
 const readSize = 128 << 10
 
+// mostEvents is how many descriptors one look finds ready: more than a process holds on any usual limit, so that what the
+// coordinator told is heard in the same turn as the requests that came with it.
+const mostEvents = 4096
+
+// mostFailures is how often in a row the wait for readiness may fail.
+const mostFailures = 100
+
 // NewLoop returns an empty loop that takes its time from clock.
 func NewLoop(clock TimeSource) (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
@@ -41,7 +49,7 @@
 	}
 	l := &Loop{
 		epoll: epoll, fds: map[int]pollable{}, clock: clock,
-		read: make([]byte, readSize), events: make([]unix.EpollEvent, 256),
+		read: make([]byte, readSize), events: make([]unix.EpollEvent, mostEvents),
 	}
 	l.tick()
 	return l, nil
@@ -50,6 +58,9 @@
 // Now is the clock time of this turn.
 func (l *Loop) Now() Clock { return l.now }
 
+// Fresh is the clock's time now, where that of the turn may be too old.
+func (l *Loop) Fresh() Clock { return l.clock.Now() }
+
 // Lag is for how long this turn has been going on: the clock has moved on from Now by as much.
 func (l *Loop) Lag() time.Duration { return l.clock.Now() - l.now }
 
@@ -81,8 +92,8 @@
 	most = l.clock.Nap(max(most, 0))
 	millis := int((most + time.Millisecond - 1) / time.Millisecond)
 	n, err := System.Wait(l.epoll, l.events, millis)
-	if err != nil && !errors.Is(err, unix.EINTR) {
-		return fmt.Errorf("epoll_wait: %w", err)
+	if err := l.waitFailed(err); err != nil {
+		return err
 	}
 	l.tick()
 	l.polledAll = n >= 0 && n < len(l.events) // a signal, also one that had stopped the process, cuts the look short
@@ -96,6 +107,19 @@
 	return nil
 }
 
+// waitFailed counts failures of the wait itself. One may pass, as for lack of memory; many in a row end the program.
+func (l *Loop) waitFailed(err error) error {
+	if err == nil || errors.Is(err, unix.EINTR) {
+		l.failures = 0
+		return nil
+	}
+	if l.failures++; l.failures >= mostFailures {
+		return fmt.Errorf("epoll_wait: %w", err)
+	}
+	time.Sleep(time.Millisecond)
+	return nil
+}
+
 // Flush writes what was queued in this turn, as far as the peers take it.
 func (l *Loop) Flush() {
 	for len(l.dirty) > 0 {
--- a/internal/net/output.go
+++ b/internal/net/output.go
@@ -11,8 +11,8 @@
 	// Encode returns the bytes, or false when the message is not to be sent any more. It may be called again
 	// when the peer took nothing.
 	Encode() ([]byte, bool)
-	// Started is called once, when the first byte has been written.
-	Started()
+	// Started is called once, when the first byte has been written. whole says that it was the last one too.
+	Started(whole bool)
 	// Written is called once, when the last byte has been written.
 	Written()
 }
@@ -85,7 +85,7 @@
 	for c.up && !c.closed && len(c.queue) > 0 {
 		more, err := c.writeFirst()
 		if err != nil {
-			c.fail(err)
+			c.failWrite(err)
 			return
 		}
 		if !more {
@@ -103,6 +103,15 @@
 	}
 }
 
+// failWrite ends a connection that takes no more. What its peer had sent before is read first: an answer tells more than the
+// loss of its connection. A peer that may close its own side first has left, and wants nothing more.
+func (c *Conn) failWrite(err error) {
+	if _, half := c.handler.(HalfCloser); !half && !c.closing && !c.eof {
+		c.receive()
+	}
+	c.fail(err)
+}
+
 // writeFirst writes from the first output of the queue; more is false when the peer takes no more now. A
 // message that the peer took nothing of stays unmade, as what it says may have to change until it goes.
 func (c *Conn) writeFirst() (more bool, err error) {
@@ -130,7 +139,7 @@
 	if msg := first.msg; msg != nil {
 		c.count(len(data))
 		first.msg, first.written = nil, msg.Written
-		msg.Started()
+		msg.Started(n == len(data))
 	}
 	c.count(-n)
 	if n < len(data) {
--- a/internal/net/pool.go
+++ b/internal/net/pool.go
@@ -262,6 +262,9 @@
 	s.closeUnused()
 }
 
+// Fail ends the connection with an error, and all uses under way.
+func (s *Slot) Fail(err error) { s.fail(err) }
+
 func (s *Slot) closeUnused() {
 	if s.Stale && s.Load == 0 && !s.Ended() {
 		s.Close()
--- a/internal/net/system.go
+++ b/internal/net/system.go
@@ -1,6 +1,10 @@
 package net
 
-import "golang.org/x/sys/unix"
+import (
+	"errors"
+
+	"golang.org/x/sys/unix"
+)
 
 // SystemCalls are the calls that the package makes on sockets and on epoll. They have the errors of the manual pages.
 type SystemCalls struct {
@@ -43,3 +47,25 @@
 	Control: unix.EpollCtl,
 	Wait:    unix.EpollWait,
 }
+
+// ErrLocal marks a failure of this machine or process, such as a lack of descriptors, ports or memory. It says nothing of the
+// peer.
+var ErrLocal = errors.New("local resources are used up")
+
+// isLocal reports errors that say nothing of the peer.
+func isLocal(err error) bool {
+	return isAny(err, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EADDRNOTAVAIL, unix.EAGAIN,
+		unix.EPERM, unix.EACCES)
+}
+
+// retry reports errors after which the same call on the same connection may succeed: nothing has been lost.
+func retry(err error) bool { return isAny(err, unix.EAGAIN, unix.EINTR, unix.ENOBUFS, unix.ENOMEM) }
+
+func isAny(err error, codes ...unix.Errno) bool {
+	for _, code := range codes {
+		if errors.Is(err, code) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -109,7 +109,7 @@
 }
 
 // Started notes that the call may run from now on.
-func (a *attempt) Started() {
+func (a *attempt) Started(bool) {
 	a.started = true
 	a.on.started()
 }
