--- a/cmd/cloverdoor/clock_test.go
+++ b/cmd/cloverdoor/clock_test.go
@@ -98,6 +98,7 @@
 
 // serveByTestClock runs the program, by a clock that the test moves on if there is one.
 func serveByTestClock() {
+	breakCalls()
 	start, err1 := strconv.ParseInt(os.Getenv("CLOVERDOOR_TEST_CLOCK"), 10, 64)
 	fd, err2 := strconv.Atoi(os.Getenv("CLOVERDOOR_TEST_CLOCK_FD"))
 	if errors.Join(err1, err2) != nil {
--- a/cmd/cloverdoor/world_test.go
+++ b/cmd/cloverdoor/world_test.go
@@ -58,6 +58,7 @@
 	socket        *os.File // listening for clients, held by the platform; nil: the program listens by itself
 	clock         *steps   // by which the program goes; nil: the system's
 	memory        int      // megabytes that it may use
+	environment   []string // of the program, besides the usual
 }
 
 // member is an entry of the coordinator's list.
@@ -115,6 +116,7 @@
 // run starts the program that has been prepared.
 func (w *world) run() {
 	w.cmd.Stderr = w.log
+	w.cmd.Env = append(w.cmd.Env, w.environment...)
 	if w.socket != nil {
 		w.cmd.ExtraFiles = []*os.File{w.socket}
 		w.cmd.Env = append(w.cmd.Env, "BALANCER_LISTEN_FD=3")
