--- a/cmd/cloverdoor/clock_test.go
+++ b/cmd/cloverdoor/clock_test.go
@@ -96,11 +96,26 @@
 	return min(wanted, lookEvery)
 }
 
+// offsetClock goes by a wall clock that was wrong when the program started.
+type offsetClock struct {
+	net.TimeSource
+	by time.Duration
+}
+
+func (c offsetClock) Now() net.Clock { return c.TimeSource.Now() + c.by }
+
+// clockOffset is the environment variable that tells by how much the program's wall clock is wrong.
+const clockOffset = "CLOVERDOOR_TEST_CLOCK_OFFSET"
+
 // serveByTestClock runs the program, by a clock that the test moves on if there is one.
 func serveByTestClock() {
 	breakCalls()
 	start, err1 := strconv.ParseInt(os.Getenv("CLOVERDOOR_TEST_CLOCK"), 10, 64)
 	fd, err2 := strconv.Atoi(os.Getenv("CLOVERDOOR_TEST_CLOCK_FD"))
+	if by, err := time.ParseDuration(os.Getenv(clockOffset)); err == nil {
+		serve(offsetClock{net.SystemClock(), by})
+		return
+	}
 	if errors.Join(err1, err2) != nil {
 		main()
 		return
@@ -108,3 +123,31 @@
 	syscall.SetNonblock(fd, true) //nolint:errcheck // a pipe takes it
 	serve(&steppedClock{now: time.Duration(start), in: fd, acks: fd + 1})
 }
+
+// A process that is started while its wall clock is wrong keeps to purges and to the slow start of caches all the same, once
+// the coordinator has told what time it is.
+func TestWallClockWrongAtTheStart(t *testing.T) {
+	for _, by := range []string{"1h", "-1h", "4s", "-4s"} {
+		w := prepare(t)
+		w.environment = []string{clockOffset + "=" + by}
+		w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+		w.awaitAlive("200")
+		receive(t, w.follows, "follow")
+		c := w.dial()
+		moment := time.Now()
+		w.tell(fmt.Sprintf(`{"index":2,"evict":{"ref":"0000000000000001","unix_ms":%d}}`, moment.UnixMilli()))
+		w.heeds()
+		c.ask(1, "artes", longWait, 1, "")
+		got := receive(t, w.cache.calls, "call")
+		age, _ := strconv.ParseInt(got.fields["maxage"], 10, 64)
+		if most := time.Since(moment).Milliseconds(); age <= 0 || age > most {
+			t.Errorf("%s: maxage is %d when the purge was %d ms ago", by, age, most)
+		}
+		got.answer("served", fmt.Sprintf("etag=a,note=TCP_JOIN,made=%d", moment.UnixMilli()-1000), "from before the purge")
+		got = receive(t, w.cache.calls, by+": further call")
+		got.answer("served", fmt.Sprintf("etag=b,note=TCP_MISS,made=%d", time.Now().UnixMilli()), "from after the purge")
+		if a := receive(t, c.answers, "answer"); a.status != "200" || a.body != "from after the purge" {
+			t.Errorf("%s: %+v", by, a)
+		}
+	}
+}
--- a/internal/net/conn_test.go
+++ b/internal/net/conn_test.go
@@ -20,7 +20,7 @@
 	return nil, false
 }
 func (closing) Started(bool) {}
-func (closing) Written() {}
+func (closing) Written()     {}
 
 type nobody struct{}
 
--- a/policy/coldbudget_test.go
+++ b/policy/coldbudget_test.go
@@ -149,3 +149,42 @@
 		}
 	}
 }
+
+// Calls that wait for their connections count until they go, however long that takes: all may go at once. One that was decided
+// on before its member started anew is looked at again.
+func TestCallsThatWaitedKeepTheColdBudget(t *testing.T) {
+	for _, startsAnew := range []bool{false, true} {
+		set := world()
+		set.ColdShare, set.FallWindow = 0.05, time.Second
+		g := &rig{t: t, r: New(set, 1), n: time.Hour}
+		g.do(everybody())
+		home := g.serve(1, "x", NoteFilled).Target
+		g.n += time.Minute
+		cold := MemberList{Members: []Member{{ID: home, State: Ready, Zone: 1, Weight: 5, Started: g.n}}}
+		if !startsAnew {
+			g.do(cold)
+		}
+		var waiting []int64
+		for id := int64(2); id < 100; id++ {
+			g.n += 100 * ms
+			if f := fetchOf(g.request(id, "x", 0)); f != nil && f.Target == home {
+				waiting = append(waiting, id)
+			}
+		}
+		if startsAnew {
+			cold.Members[0].Started = g.n
+			g.do(cold)
+		}
+		sent := 0
+		for _, id := range waiting {
+			if _, ok := g.r.Recheck(g.n, id, 0); ok {
+				sent++
+			}
+		}
+		// 0.1 s each; 2 times the warm share of 5 transfers for 1 s.
+		share := g.r.warmShare(g.r.members[home])
+		if most := 2 * share * 5; sent == 0 || float64(sent)*0.1 > most {
+			t.Errorf("started anew %v: %d of %d sent at once, %.1f s allowed", startsAnew, sent, len(waiting), most)
+		}
+	}
+}
