One guard for what may be sent, started or closed, an audit, and the coordinator's time

Cause: whether something may be done was decided in six places (Recheck, Submit, serve, room, watch, closeDrained), with the time of the turn's start. A restarted member got all calls that had been decided on before. The end of a client was looked for as the turn began only. The wall clock of the start was believed for the whole run, by the age of purges, tooOld and slow starts.

Change: policy/guard.go decides sending, starting and closing, with typed verdicts (rule and reason) that are counted as svc_denied; Encode asks it with fresh time, and looks at the client again in a turn over 30 ms. A call joins the cold budget when it goes if it was not counted. internal/proxy/audit.go checks by records of its own and counts svc_violations. The latest times that the coordinator told bound what time it is (peerClock); the own clock counts while it agrees, and ClockCorrection moves what was told before. Two processes on one socket keep to half of a cold budget each. TestPurgeToldInALongTurn had a process hear its first purge 12 s late, which no clock can tell from a wrong one; it hears one in time first now, and wants what it wanted.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -221,6 +221,24 @@
 // queue of connections to accept, or behind what one turn reads of a connection.
 func (c *Conn) Waited() time.Duration { return c.waited }
 
+// Look takes what has come since the turn began, in the middle of it.
+func (c *Conn) Look() {
+	if c.closed || !c.up {
+		return
+	}
+	fds := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	if err != nil || n == 0 {
+		return
+	}
+	before := c.loop.lastPoll
+	if c.loop.polledAll { // its end would have been seen as the turn began
+		c.loop.lastPoll = c.loop.now
+	}
+	c.ready(uint32(fds[0].Revents))
+	c.loop.lastPoll = before
+}
+
 // measureWait works out Waited for what is about to be read.
 func (c *Conn) measureWait() {
 	switch {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -33,6 +33,8 @@
 	place   int       // how often it has been put on a connection
 	started bool      // its first byte has been written
 	written bool      // its last byte has been written: it may run
+	source  string    // from which a miss is filled
+	began   net.Clock // when its first byte was written, as the audit knows
 	oldest  int64     // Unix millisecond before which no copy that answers it may have been made; 0: not bound
 	ended   bool
 }
@@ -92,18 +94,15 @@
 	if a.ended || a.started || a.place != s.place {
 		return nil, false
 	}
-	if a.req.finished { // answered or given up since, perhaps in this very turn
-		a.p.end(a, resp.Answer{}, policy.ResultMoot)
-		return nil, false
-	}
 	now := a.p.loop.Fresh() // the process may have been without its core since the turn began
-	f, ok := a.p.router.Recheck(now, a.req.number, a.number)
+	f, ok := a.maySend(now)
 	if !ok {
 		a.p.end(a, resp.Answer{}, policy.ResultMoot)
 		return nil, false
 	}
+	a.source = f.Source
 	if f.MaxAge > 0 {
-		a.oldest = (now - f.MaxAge - ageSlack).Milliseconds()
+		a.oldest = (a.p.clock.unix(now) - f.MaxAge - ageSlack).Milliseconds()
 	}
 	c := resp.Call{
 		ID: a.req.ID, Class: a.req.Name, Object: a.req.Object, Part: strconv.Itoa(a.req.Part),
@@ -116,11 +115,31 @@
 	return resp.AppendCall(nil, &c), true
 }
 
+// maySend asks the module once more whether the call may begin, and with which orders.
+func (a *attempt) maySend(now net.Clock) (policy.Fetch, bool) {
+	a.req.to.Look()
+	_, left := a.req.to.Left()
+	if a.req.finished { // answered or given up since, perhaps in this very turn
+		a.p.denied.allows(actionSend, policy.Verdict{Rule: policy.RuleAnswer, Reason: policy.ReasonAnswered})
+		return policy.Fetch{}, false
+	}
+	f, verdict := a.p.router.MaySend(now, policy.Sending{ID: a.req.number, Attempt: a.number, Left: a.req.deadline - now, ClientLeft: left})
+	if !a.p.denied.allows(actionSend, verdict) {
+		a.p.log.Info("call not sent", "request", a.req.ID, "attempt", a.number, "server", a.target, "rule", verdict.Rule, "reason", verdict.Reason)
+		if verdict.Rule == policy.RuleClientLeft {
+			a.p.GiveUp(a.req.number)
+		}
+		return policy.Fetch{}, false
+	}
+	return f, true
+}
+
 // Started notes that the call may run once its last byte has gone. The rest of one that its peer takes only in part must
 // not wait for long: the deadline that it passes on would be too late.
 func (a *attempt) Started(whole bool) {
 	a.started = true
 	a.on.started()
+	a.p.audit.began(a, a.source)
 	if !whole {
 		a.p.loop.At(a.p.loop.Fresh()+maxHalfWritten, a.giveUpHalfWritten)
 	}
@@ -129,6 +148,7 @@
 // Written counts the call: it has gone to its target whole.
 func (a *attempt) Written() {
 	a.written = true
+	a.p.audit.wrote(a)
 	a.p.tallies.count(a.req.Name, relayed)
 }
 
@@ -152,6 +172,7 @@
 		result = policy.ResultError
 	}
 	if result == policy.ResultOK {
+		p.audit.served(a, ans)
 		status := Served
 		if ans.Word == resp.StillGood {
 			status, ans.Body = Unchanged, nil
@@ -200,6 +221,7 @@
 			result = policy.ResultConnectFailed
 		}
 	}
+	p.audit.ended(a, result)
 	p.notify(policy.Outcome{ID: a.req.number, Attempt: a.number, Result: result, Note: policy.Note(ans.Note),
 		Took: p.loop.Now() - a.created, SourceWait: ans.SourceWait, Sending: p.sending(ans), Finished: a.req.finished})
 	p.forget(a.req)
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -18,6 +18,10 @@
 
 func (deaf) Respond(Answer) {}
 
+func (deaf) Look() {}
+
+func (deaf) Left() (net.Clock, bool) { return 0, false }
+
 // A call that moves on from a late connection and comes back to it, as it is up by then, is in its queue twice: it is
 // sent once all the same. Otherwise a write would run twice.
 func TestCallThatComesBackIsSentOnce(t *testing.T) {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -22,6 +22,7 @@
 	parked  []parked         // requests that wait until the client has read more
 	goneBy  net.Clock        // from when on nothing begins for a client that has left; 0: it has not
 
+	looked          net.Clock // when it was looked at in the middle of a turn
 	asked           int       // requests that came whole
 	incompleteSince net.Clock // since when the client owes its first request, or the rest of one; 0: it does not
 	answered        net.Clock // when it last got an answer
@@ -32,6 +33,14 @@
 	return c.front.p.loop.Now() - max(c.conn.Heard(), c.answered)
 }
 
+// overdue says that a client has paused for too long over a request, or has asked nothing for too long.
+func (c *clientConn) overdue() bool {
+	if c.incompleteSince != 0 && (c.idle() > wholeAfter || c.front.p.loop.Now()-c.incompleteSince > wholeAtMost) {
+		return true
+	}
+	return c.idle() > idleAfter
+}
+
 // midRequest says whether a request has come in part.
 func (c *clientConn) midRequest() bool { return c.conn.Pending() > 0 || c.decoder.Receiving() }
 
@@ -39,7 +48,7 @@
 func (c *clientConn) evictable() bool {
 	bytes, _ := c.conn.Backlog()
 	if len(c.open) > 0 || bytes > 0 || c.conn.Ended() {
-		return false
+		return false // looked at here as well, as all connections are asked: what is left is decided by policy.MayClose
 	}
 	return c.idle() > [...]time.Duration{evictSilentAfter, evictIdleAfter, evictPartialAfter}[c.evictionRank()]
 }
@@ -142,10 +151,13 @@
 	return len(data), nil
 }
 
-// Closed gives up what was open on the connection.
-func (c *clientConn) Closed(error) {
+// Closed gives up what was open on the connection. There is no error where this program has closed it of its own accord.
+func (c *clientConn) Closed(err error) {
 	delete(c.front.conns, c)
 	for _, number := range c.open {
+		if q := c.front.p.requests[number]; q != nil {
+			c.front.p.audit.closed(q, err != nil)
+		}
 		c.front.p.Abandon(number)
 	}
 	c.open, c.parked = nil, nil
@@ -160,7 +172,17 @@
 	c.front.p.loop.At(c.goneBy, c.giveUp)
 }
 
-func (c *clientConn) gone() bool { return c.goneBy != 0 && c.front.p.loop.Now() >= c.goneBy }
+func (c *clientConn) gone() bool { return c.goneBy != 0 && c.front.p.loop.Fresh() >= c.goneBy }
+
+// lookAgain reads what has come since the turn began, if that is long ago: the client may have left, or taken back what it
+// asked for.
+func (c *clientConn) lookAgain() {
+	now := c.front.p.loop.Fresh()
+	if now-max(c.looked, c.front.p.loop.Now()) > lookAgainAfter {
+		c.looked = now
+		c.conn.Look()
+	}
+}
 
 // giveUp ends what is open for a client that has left.
 func (c *clientConn) giveUp() {
@@ -234,9 +256,7 @@
 	switch {
 	case err != nil:
 		to.write(fastcgi.Response{Status: 400, Body: []byte(err.Error() + "\n")})
-	case c.gone(), c.front.p.late():
-		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
-	case c.full(), len(c.parked) > 0:
+	case (c.full() || len(c.parked) > 0) && !c.gone() && !c.front.p.late():
 		c.park(r, in)
 	default:
 		in.Wait -= max(c.front.p.loop.Stalled(longestNap), c.conn.Waited()) // its client has been waiting for it
@@ -244,12 +264,8 @@
 	}
 }
 
-// serve takes on a request. One whose time is over already is refused: no answer would come in time.
+// serve takes on a request, or has it answered at once.
 func (c *clientConn) serve(in Request, to *responder) {
-	if in.Wait <= 0 {
-		c.front.p.turnAway(in, to, Answer{Status: Refused, ComeBack: goneIn})
-		return
-	}
 	c.open[to.id] = 0 // Submit may answer at once, which takes it out again
 	if number := c.front.p.Submit(in, to); number != 0 {
 		c.open[to.id] = number
--- a/internal/proxy/coordinator_test.go
+++ b/internal/proxy/coordinator_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -64,9 +65,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Proxy{loop: loop}
+	p := &Proxy{loop: loop, log: slog.New(slog.DiscardHandler), follower: &follower{}}
+	p.audit = newAudit(p, nil)
+	p.applyEvent(feed.Event{Evict: &feed.Evict{Object: "w", At: loop.Now().Milliseconds()}}) // in time: the clock is right
 	p.applyEvent(feed.Event{Evict: &feed.Evict{Object: "x", At: time.Now().Add(-ago).UnixMilli()}})
-	if age := p.inbox[0].(policy.Purge).Age; age < ago-held-time.Second || age > ago-held+time.Second {
+	if age := p.inbox[1].(policy.Purge).Age; age < ago-held-time.Second || age > ago-held+time.Second {
 		t.Errorf("the purge counts as %v old, %v before the turn", age, ago-held)
 	}
 }
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cloverdoor/internal/net"
+	"cloverdoor/policy"
 )
 
 const (
@@ -26,6 +27,8 @@
 	// goneAfter is how long after a client has left what it asked for is given up. Nothing may begin for it after
 	// 0.1 s; at once would take the answers from one that has only ended its own side.
 	goneAfter = 80 * time.Millisecond
+	// lookAgainAfter is how long a turn lasts before clients are looked at once more: what was heard of them is too old then.
+	lookAgainAfter = 30 * time.Millisecond
 	// backpressureAt is how many bytes of answers a client may leave unread before its further requests wait.
 	backpressureAt = 1 << 20
 	// evictIdleAfter is the same for one that is owed nothing: a request that crosses the close within 50 ms is sent
@@ -100,7 +103,7 @@
 		if spare == nil {
 			return false
 		}
-		if !spare.conn.Unread() {
+		if f.mayClose(policy.Connection{Open: len(spare.open), Unread: spare.conn.Unread}) {
 			break
 		}
 		unread[spare], spare = true, nil
@@ -134,21 +137,30 @@
 		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
-		case len(c.open) == 0 && !c.conn.Ended() && !c.conn.Unread() &&
-			(c.incompleteSince != 0 && (c.idle() > wholeAfter || f.p.loop.Now()-c.incompleteSince > wholeAtMost) || c.idle() > idleAfter):
+		case !c.conn.Ended() && c.overdue() && f.mayClose(policy.Connection{Open: len(c.open), Unread: c.conn.Unread}):
 			c.conn.CloseFlushed()
 		}
 	}
 	f.p.loop.At(f.p.loop.Now()+longestNap, f.watch)
 }
 
+// mayClose says whether a connection can be closed now, and counts where it can't.
+func (f *Front) mayClose(c policy.Connection) bool {
+	return f.p.denied.allows(actionClose, policy.MayClose(c))
+}
+
 // closeDrained closes, while clients are to leave, the connections that are empty now. It comes at the end of a turn, when
 // all that has come was taken and all answers have been written and have arrived: what a client sends while its
 // connection is closed but still brings output would be lost.
 func (f *Front) closeDrained() {
 	for c := range f.conns {
-		if bytes, _ := c.conn.Backlog(); bytes == 0 && !c.conn.Ended() && c.empty() && !c.asking() && c.conn.Pending() == 0 &&
-			c.conn.Unacked() == 0 && !c.conn.Unread() {
+		if c.conn.Ended() {
+			continue
+		}
+		bytes, _ := c.conn.Backlog()
+		verdict := policy.MayClose(policy.Connection{Open: len(c.open), Queued: bytes, Partial: c.midRequest(), Busy: c.asking(),
+			Unread: c.conn.Unread, Unacked: c.conn.Unacked})
+		if verdict.Allowed() { // else it is asked again in the next turn
 			c.conn.CloseFlushed()
 		}
 	}
@@ -164,7 +176,7 @@
 			r := c.unpark()
 			to := &responder{conn: c, id: r.request.ID}
 			in, err := f.parse(r.request) // once more: classes may have changed
-			if err != nil || f.p.late() {
+			if err != nil {
 				f.p.turnAway(r.in, to, Answer{Status: Refused, ComeBack: goneIn})
 				continue
 			}
--- a/internal/proxy/membership.go
+++ b/internal/proxy/membership.go
@@ -7,20 +7,20 @@
 	"time"
 
 	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
 	"cloverdoor/policy"
 )
 
 // applyEvent passes one event of the coordinator on to the module and keeps the pools in step with it.
 func (p *Proxy) applyEvent(ev feed.Event) {
+	p.audit.told(ev)
 	if v := ev.Evict; v != nil {
-		// The moment is told in whole milliseconds: a copy made within that one may be older than the purge.
-		// Its age is counted back from the turn's time, as the module does. A process that was held up in this turn would
-		// else take the purge for older than it is, and ask for copies from before it.
-		age := time.Since(time.UnixMilli(v.At+1)) - p.loop.Lag()
-		if v.At == 0 { // not told
-			age = 0
+		age := time.Duration(0) // where it is not told when
+		if v.At != 0 {
+			p.observeTime(time.Duration(v.At)*time.Millisecond, p.follower != nil)
+			age = p.purgeAge(v.At)
 		}
-		p.purge(v, max(0, age))
+		p.purge(v, age)
 	}
 	if ev.Endpoints != nil {
 		p.applyServers(ev.Endpoints)
@@ -90,10 +90,20 @@
 	p.pools.Set(m.ID, addr)
 }
 
+// startTime is the loop's time of a late start that is told as a Unix millisecond; 0: long ago.
+func (p *Proxy) startTime(unixMillis int64) net.Clock {
+	if unixMillis == 0 {
+		return 0
+	}
+	told := time.Duration(unixMillis) * time.Millisecond
+	p.observeTime(told, false)
+	return p.clock.local(told)
+}
+
 // member decodes one entry of the list.
 func (p *Proxy) member(s feed.Server) (policy.Member, netip.AddrPort, error) {
 	m := policy.Member{
-		ID: s.ID, State: states[s.State], Started: time.Duration(s.Started) * time.Millisecond,
+		ID: s.ID, State: states[s.State], Started: p.startTime(s.Started),
 		Kind: slices.Index(p.set.Kinds, s.Kind), Zone: slices.Index(p.set.Zones, s.Zone),
 		Weight: s.Weight, Cell: s.Cell,
 	}
--- /dev/null
+++ b/internal/proxy/peerclock.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cloverdoor/internal/net"
+	"cloverdoor/policy"
+)
+
+const (
+	// tellDelay is how late a purge is told at the most while all is well: one that is told within it shows nothing wrong.
+	tellDelay = 500 * time.Millisecond
+	// clockSamples is how many purges are looked at: one wrong time, or some that are told late, are forgotten after as many.
+	clockSamples = 8
+	// leastCorrection is the smallest change that is worth to be applied.
+	leastCorrection = 200 * time.Millisecond
+)
+
+// peerClock relates the Unix times that the coordinator tells to the loop's clock. That was taken from this machine's wall
+// clock once, at the start, and may have been wrong by then. What is told has happened before it comes, so the latest of the
+// recent times is a bound on what time it is; the own clock is believed as long as it agrees with that.
+type peerClock struct {
+	samples []time.Duration // how far what was told lay ahead of the loop's clock as it came
+	offset  time.Duration   // added to the loop's clock, it gives the coordinator's time
+}
+
+// observe takes note of a time that was told just now. It returns how much later than thought the coordinator's clock is,
+// 0 for no change that counts.
+func (c *peerClock) observe(told, now net.Clock) time.Duration {
+	if c.samples = append(c.samples, told-now); len(c.samples) > clockSamples {
+		c.samples = c.samples[1:]
+	}
+	least, offset := slices.Max(c.samples), time.Duration(0)
+	if least > 0 || least < -tellDelay {
+		offset = least
+	}
+	change := offset - c.offset
+	if change.Abs() < leastCorrection {
+		return 0
+	}
+	c.offset = offset
+	return change
+}
+
+// local is the loop's time at which something happened.
+func (c *peerClock) local(told net.Clock) net.Clock { return told - c.offset }
+
+// unix is the coordinator's time at a time of the loop.
+func (c *peerClock) unix(at net.Clock) net.Clock { return at + c.offset }
+
+// observeTime compares a Unix time that was told with the loop's clock. Only a purge that has just been told shows that the
+// clock is ahead; any time that lies in the future shows that it is behind.
+func (p *Proxy) observeTime(told net.Clock, justNow bool) {
+	now := p.loop.Now()
+	if !justNow && told <= p.clock.unix(now) {
+		return
+	}
+	if change := p.clock.observe(told, now); change != 0 {
+		p.log.Warn("clock differs from the coordinator's", "offset", p.clock.offset)
+		p.notify(policy.ClockCorrection{By: -change})
+	}
+}
+
+// purgeAge is how long ago a purge took place, never more than is certain.
+func (p *Proxy) purgeAge(unixMillis int64) time.Duration {
+	// The moment is told in whole milliseconds: a copy made within that one may be older than the purge. Its age is counted
+	// back from the turn's time, as the module does.
+	at := time.Duration(unixMillis+1) * time.Millisecond
+	now := p.clock.unix(p.loop.Now())
+	if len(p.clock.samples) == 0 { // the own clock has yet to be compared
+		now = min(now, cmp.Or(p.newestKnown, now))
+	}
+	return max(0, now-at)
+}
--- /dev/null
+++ b/internal/proxy/peerclock_test.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"cloverdoor/internal/feed"
+	"cloverdoor/internal/net"
+	"cloverdoor/policy"
+)
+
+// told returns a proxy whose wall clock is wrong by so much, and a function that has a purge of so long ago told to it and
+// returns how old it counts as.
+func told(t *testing.T, wrongBy time.Duration) (*Proxy, func(ago time.Duration, live bool) time.Duration) {
+	t.Helper()
+	right := net.Clock(time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC).UnixNano())
+	loop, err := net.NewLoop(&handClock{now: right + wrongBy})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Proxy{loop: loop, log: slog.New(slog.DiscardHandler)}
+	p.audit = newAudit(p, nil)
+	return p, func(ago time.Duration, live bool) time.Duration {
+		if p.follower = nil; live {
+			p.follower = &follower{}
+		}
+		p.inbox = nil
+		p.applyEvent(feed.Event{Evict: &feed.Evict{Object: "x", At: (right - ago).Milliseconds()}})
+		return p.inbox[len(p.inbox)-1].(policy.Purge).Age
+	}
+}
+
+// However wrong the clock is, a purge never counts as older than it is, and about as old once one has been told in time.
+func TestPurgeAgeByAWrongClock(t *testing.T) {
+	for _, wrongBy := range []time.Duration{0, time.Hour, -time.Hour, 3 * time.Second, -3 * time.Second} {
+		_, age := told(t, wrongBy)
+		for _, ago := range []time.Duration{400 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second, 0} {
+			got := age(ago, true)
+			if got > ago {
+				t.Errorf("%v wrong: %v ago counts as %v", wrongBy, ago, got)
+			}
+			if ago == 2*time.Second && got < ago-tellDelay {
+				t.Errorf("%v wrong: %v ago counts as only %v", wrongBy, ago, got)
+			}
+		}
+	}
+}
+
+// One wrong time from the coordinator is forgotten.
+func TestWrongTimeIsForgotten(t *testing.T) {
+	p, age := told(t, 0)
+	age(-time.Hour, true)
+	for range clockSamples {
+		age(0, true)
+	}
+	if p.clock.offset != 0 {
+		t.Errorf("off by %v", p.clock.offset)
+	}
+}
+
+// Before anything has been told live, purges of the configuration are certain only against the latest of them.
+func TestKnownPurgesByAWrongClock(t *testing.T) {
+	p, _ := told(t, time.Hour)
+	at := func(ago time.Duration) feed.Event {
+		return feed.Event{Evict: &feed.Evict{Object: "x", At: (p.loop.Now() - time.Hour - ago).Milliseconds()}}
+	}
+	p.applyKnown([]feed.Event{at(5 * time.Second), at(2 * time.Second)})
+	for i, want := range []time.Duration{3 * time.Second, 0} {
+		if age := p.inbox[i].(policy.Purge).Age; age > want || age < want-time.Second {
+			t.Errorf("the %d. counts as %v old, want %v", i+1, age, want)
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,6 +42,7 @@
 	Flow     float64 // bytes a second of one transfer; 0: not told
 
 	LogDropped func() int64 // how many lines of the log were dropped; nil: not known
+	Violated   func(string) // called when the program finds that it has broken a rule; nil: it is only counted
 }
 
 // Proxy is one edge proxy. Everything in it runs on the loop's goroutine.
@@ -79,6 +80,10 @@
 	accepted, invalid int // configurations read again
 	logDropped        func() int64
 	loader            loader
+	clock             peerClock
+	newestKnown       net.Clock // the latest time that the configuration's purges tell; 0: none
+	audit             *audit
+	denied            denials
 	unreadable        int // parts of the coordinator's events that could not be read
 }
 
@@ -89,6 +94,9 @@
 	to         Responder
 	deadline   net.Clock // by which the answer must have been written
 	safe       bool      // it may be repeated
+	effect     policy.Effect
+	answers    int  // final answers so far, as the audit counts
+	mayHaveRun bool // a call was written whole and not proven not to have run, as the audit knows
 	timer      *net.Timer
 	attempts   []*attempt
 	pending    int
@@ -104,16 +112,27 @@
 		requests: map[int64]*request{}, servers: map[string]int64{},
 		sockets: UpstreamSockets(cfg.Sockets), maxHeld: cfg.Memory / 4, logDropped: cfg.LogDropped,
 	}
+	p.denied, p.audit = denials{}, newAudit(p, cfg.Violated)
 	p.pools = net.NewPools(loop, net.Limits{}, p.openUpstream)
 	p.apply(cfg.Settings, cfg.Flow)
-	for _, ev := range cfg.Known.Updates {
-		p.applyEvent(ev)
-	}
+	p.applyKnown(cfg.Known.Updates)
 	p.settle()
 	p.sweep()
 	return p
 }
 
+// applyKnown takes the events that the configuration tells. How long ago its purges were is certain only against the latest.
+func (p *Proxy) applyKnown(events []feed.Event) {
+	for _, ev := range events {
+		if ev.Evict != nil {
+			p.newestKnown = max(p.newestKnown, time.Duration(ev.Evict.At)*time.Millisecond)
+		}
+	}
+	for _, ev := range events {
+		p.applyEvent(ev)
+	}
+}
+
 // apply takes over settings, at the start and later, wherever the proxy goes by them itself.
 func (p *Proxy) apply(set settings.Settings, flow float64) {
 	p.set, p.flow, p.class = set, flow, map[string]int{}
@@ -226,15 +245,22 @@
 // Submit takes a request whose last byte has just come. It returns the request's number, for Abandon, or 0
 // when it was answered at once.
 func (p *Proxy) Submit(in Request, to Responder) int64 {
-	// At these bounds a refusal is all that memory allows; it is harmless, and clients come again.
-	if len(p.requests) >= p.maxOpen || p.held() >= p.maxHeld {
-		p.turnAway(in, to, Answer{Status: Overloaded})
+	_, left := to.Left()
+	verdict := policy.MayStart(policy.Arrival{ClientLeft: left, Stopping: p.late(), Left: in.Wait,
+		Open: len(p.requests), Most: p.maxOpen, Full: p.held() >= p.maxHeld})
+	if !p.denied.allows(actionStart, verdict) {
+		answer := Answer{Status: Refused, ComeBack: goneIn}
+		if verdict.Rule == policy.RuleLimits { // a refusal is all that memory allows; clients come again
+			answer = Answer{Status: Overloaded}
+		}
+		p.turnAway(in, to, answer)
 		return 0
 	}
 	p.lastID++
 	now := p.loop.Now()
 	q := &request{Request: in, number: p.lastID, to: to, deadline: now + in.Wait - min(answerTime, in.Wait/answerPart),
-		safe: p.set.Policy.Classes[in.Class].Effect == policy.Safe}
+		effect: p.set.Policy.Classes[in.Class].Effect}
+	q.safe = q.effect == policy.Safe
 	if p.phase == Stopping {
 		q.deadline = max(now, min(q.deadline, p.endBy))
 	}
@@ -302,6 +328,7 @@
 		return
 	}
 	p.finish(q)
+	p.audit.answered(q, a.Status)
 	p.tallies.count(q.Name, a.Status.counted())
 	q.to.Respond(p.advised(a))
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -3,7 +3,11 @@
 // the program; which cache is asked, and what follows, is decided in package policy.
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"cloverdoor/internal/net"
+)
 
 // Request is a client's request, whatever protocol brought it. What passes on to a cache is kept as it came.
 type Request struct {
@@ -41,4 +45,11 @@
 }
 
 // Responder takes the one final answer to a request back to its client.
-type Responder interface{ Respond(Answer) }
+type Responder interface {
+	Respond(Answer)
+	// Look reads what has come from the client since the turn began, if that is long ago. It may bring the request's end.
+	Look()
+	// Left tells since when the client may have left, 0 while it is there, and whether that is so long ago that nothing may
+	// begin for it any more.
+	Left() (since net.Clock, long bool)
+}
--- a/internal/proxy/responder.go
+++ b/internal/proxy/responder.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"cloverdoor/internal/fastcgi"
+	"cloverdoor/internal/net"
 )
 
 // responder takes one answer to its client.
@@ -12,6 +13,18 @@
 	id   uint16
 }
 
+// Look reads what has come since the turn began.
+func (r *responder) Look() { r.conn.lookAgain() }
+
+// Left tells since when the client may have left.
+func (r *responder) Left() (since net.Clock, long bool) {
+	c := r.conn
+	if c.goneBy == 0 {
+		return 0, false
+	}
+	return max(1, c.goneBy-goneAfter), c.gone()
+}
+
 // Respond encodes the answer.
 func (r *responder) Respond(a Answer) {
 	switch a.Status {
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -85,5 +85,7 @@
 	} {
 		fmt.Fprintf(&b, "svc_%s %d\n", figure.name, figure.value)
 	}
+	p.denied.write(&b)
+	p.audit.write(&b)
 	return b.String()
 }
--- a/policy/coldbudget.go
+++ b/policy/coldbudget.go
@@ -42,7 +42,8 @@
 	for _, a := range m.coldAttempts {
 		sum += r.coldCost(a.request)
 	}
-	part := coldMargin * multiple * min(m.link.capacity, m.link.nominal) / m.link.sharers
+	sharers := m.link.sharers * float64(max(1, r.settings.Processes))
+	part := coldMargin * multiple * min(m.link.capacity, m.link.nominal) / sharers
 	return (m.Started >= r.startedAt || r.now-r.startedAt >= window) &&
 		(sum <= part*warm*window.Seconds() || sum == cost && r.hasColdTurn(m, window, cost/(part*turnMargin)))
 }
--- a/policy/coldbudget_test.go
+++ b/policy/coldbudget_test.go
@@ -177,7 +177,7 @@
 		}
 		sent := 0
 		for _, id := range waiting {
-			if _, ok := g.r.Recheck(g.n, id, 0); ok {
+			if _, verdict := g.r.MaySend(g.n, Sending{ID: id, Left: time.Second}); verdict.Allowed() {
 				sent++
 			}
 		}
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -43,14 +43,31 @@
 		}
 		if m.copies == nil || m.Started != entry.Started || entry.State == Gone { // it is empty
 			m.copies, _ = simplelru.NewLRU[uint64, copyRecord](copyTableSize, nil)
-			m.misindication, m.coldAttempts, m.link.slowdown = ratio{}, nil, 0
+			m.misindication, m.link.slowdown = ratio{}, 0
 			m.suspicions, m.suspectUntil = 0, 0
 		}
+		if m.Started != entry.Started { // what one life was sent does not weigh on the next
+			m.coldAttempts = nil
+		}
 		m.Member = entry
 	}
 	r.sortMembers()
 }
 
+// ClockCorrection says that the clock times of starts and purges that were told so far were off: each is later by By.
+type ClockCorrection struct{ By time.Duration }
+
+func (c ClockCorrection) apply(r *Router) {
+	for _, m := range r.members {
+		if m.Started != 0 {
+			m.Started += c.By
+		}
+	}
+	for key := range r.purges {
+		r.purges[key] += c.By
+	}
+}
+
 // sortMembers lists who is not gone, and sizes links: as told, else each tier for its share of the one below.
 func (r *Router) sortMembers() {
 	r.caches, r.parents, r.origin = nil, nil, nil
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -59,25 +59,6 @@
 	r.decide(req)
 }
 
-// mayRepeat reports whether another attempt is harmless at a member: keyed ones are where repeats are known.
-func (r *Router) mayRepeat(req *request, m *member) bool {
-	first := req.mayHaveRun
-	switch {
-	case first == nil || req.class.Effect == Safe:
-		return true
-	case req.class.Effect == Unsafe || r.now-first.sent >= req.class.Window:
-		return false
-	case req.class.Scope == ScopeZone:
-		return m.Zone == first.target.Zone
-	}
-	return req.class.Scope == ScopeAll || m.Cell == first.target.Cell && m.Zone == first.target.Zone
-}
-
-func (r *Router) mayRefuse(req *request) bool {
-	class := req.class
-	return class.Effect == Safe || req.mayHaveRun == nil || class.Effect == Keyed && class.Scope == ScopeAll
-}
-
 func (r *Router) finishUnserved(req *request) {
 	if req.pending > 0 { // another attempt may still be answered
 		return
--- a/policy/router.go
+++ b/policy/router.go
@@ -60,19 +60,6 @@
 	return r.actions
 }
 
-// Recheck is called when an attempt's first byte is about to be written. It returns the attempt's current
-// orders, or false when it must not be sent: the member may drain, or the time for repeats may be over.
-func (r *Router) Recheck(now time.Duration, id int64, number int) (Fetch, bool) {
-	r.now = now
-	a := r.pendingAttempt(id, number)
-	if a == nil || a.request.finished || a.target.State != Ready || a.source.State != Ready ||
-		a.request.mayHaveRun != a && !r.mayRepeat(a.request, a.target) {
-		return Fetch{}, false
-	}
-	a.begun = now
-	return r.fetch(a), true
-}
-
 // What was learned about a class is kept under its name: class numbers may be reassigned.
 func (settings Settings) apply(r *Router) {
 	r.settings = settings
@@ -192,7 +179,7 @@
 		l.enter(a, r.now)
 	}
 	for _, m := range []*member{target, source} {
-		if r.warmShare(m) < 1 && (m == target || m.Kind == r.settings.ParentKind) {
+		if r.weighsOn(m, a) && !slices.Contains(m.coldAttempts, a) {
 			m.coldAttempts = append(m.coldAttempts, a)
 		}
 	}
--- a/policy/router_test.go
+++ b/policy/router_test.go
@@ -71,32 +71,40 @@
 }
 
 // What was decided while a connection came up is looked at again when the first byte goes.
-func TestRecheckBeforeTheFirstByte(t *testing.T) {
+func TestGuardBeforeTheFirstByte(t *testing.T) {
 	drain := func(id string) Event { return MemberList{Members: []Member{{ID: id, State: Draining, Zone: 1}}} }
 	for name, c := range map[string]struct {
 		event func(Fetch) Event
-		goes  bool
+		want  Verdict
 		age   time.Duration
 		join  bool
 	}{
-		"nothing new":         {func(Fetch) Event { return TimerFired{} }, true, 0, true},
-		"its target drains":   {func(f Fetch) Event { return drain(f.Target) }, false, 0, false},
-		"its source drains":   {func(f Fetch) Event { return drain(f.Source) }, false, 0, false},
-		"its object purged":   {func(Fetch) Event { return Purge{Object: "x", Age: 70 * ms} }, true, 90 * ms, true},
-		"its group purged":    {func(Fetch) Event { return Purge{Age: 70 * ms} }, true, 90 * ms, true},
-		"the client has left": {func(Fetch) Event { return ClientGone{ID: 1} }, false, 0, false},
+		"nothing new":         {func(Fetch) Event { return TimerFired{} }, Verdict{}, 0, true},
+		"its target drains":   {func(f Fetch) Event { return drain(f.Target) }, Verdict{RuleDrain, ReasonTargetLeaving}, 0, false},
+		"its source drains":   {func(f Fetch) Event { return drain(f.Source) }, Verdict{RuleDrain, ReasonSourceLeaving}, 0, false},
+		"its object purged":   {func(Fetch) Event { return Purge{Object: "x", Age: 70 * ms} }, Verdict{}, 90 * ms, true},
+		"its group purged":    {func(Fetch) Event { return Purge{Age: 70 * ms} }, Verdict{}, 90 * ms, true},
+		"the client has left": {func(Fetch) Event { return ClientGone{ID: 1} }, Verdict{RuleAnswer, ReasonAnswered}, 0, false},
 	} {
 		g := newRig(t)
 		f := fetchOf(g.request(1, "x", 0))
 		g.n += 10 * ms
 		g.do(c.event(*f))
-		now, goes := g.r.Recheck(g.n+20*ms, 1, 0)
-		if goes != c.goes || now.MaxAge != c.age || now.Join != c.join {
-			t.Errorf("%s: %v %+v", name, goes, now)
+		now, verdict := g.r.MaySend(g.n+20*ms, Sending{ID: 1, Left: time.Second})
+		if verdict != c.want || now.MaxAge != c.age || now.Join != c.join {
+			t.Errorf("%s: %v %+v", name, verdict, now)
 		}
 	}
-	if _, goes := newRig(t).r.Recheck(time.Hour, 9, 0); goes {
-		t.Error("an attempt that was never made goes")
+	for want, s := range map[Verdict]Sending{
+		{RuleAnswer, ReasonAttemptOver}:    {ID: 9, Left: time.Second},
+		{RuleClientLeft, ReasonClientLeft}: {ID: 1, Left: time.Second, ClientLeft: true},
+		{RuleDeadline, ReasonNoTime}:       {ID: 1},
+	} {
+		g := newRig(t)
+		g.request(1, "x", 0)
+		if _, verdict := g.r.MaySend(g.n, s); verdict != want {
+			t.Errorf("%+v: %+v, want %+v", s, verdict, want)
+		}
 	}
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -62,6 +62,7 @@
 	Instances     int   // routers of this tier in all
 	Index         int   // this router's number among them, from 0
 	RoutersInZone int   // of them, in this zone; 0: not told
+	Processes     int   // that may stand for one router at once, while one takes over from another; 0: one
 	ZoneHubs      []int // the hub that each zone is tied to, by its place in the ring of hubs; empty: not told
 	WeightsTold   bool  // weights count one-client transfers
 	FlowKBps      float64
@@ -110,7 +111,7 @@
 }
 
 // Event is one thing the router is told: Settings, MemberList, Request, Outcome, StreamStarted, Purge,
-// ClientGone or TimerFired. Each is applied in the file of the decisions that it leads to.
+// ClientGone, TimerFired or ClockCorrection. Each is applied in the file of the decisions that it leads to.
 type Event interface{ apply(r *Router) }
 
 // MemberList brings the whole list, or changes to it.
