A soak of real processes under drawn troubles, and its first find as a failing test

Need: the operators want rare events to overlap, on real processes and sockets, with what others saw as the oracle.

System calls of the program fail by seed in the test binary alone. What breaks a rule is kept with its schedule and timeline in found/soak.

Faults of the soak itself found on the way: calls read just after a hang counted as new, an exit was noted too late, a failing epoll_ctl was carried out all the same.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint, run: the one place for the commands that README names.
-.PHONY: build test lint fuzz run toy
+.PHONY: build test lint fuzz run toy soak
 
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
@@ -30,3 +30,13 @@
 
 toy:
 	go run ./example/toy serve
+
+# Fleets of real processes under troubles drawn by seed; what breaks a rule is kept in found/soak.
+SEEDS ?= 20
+SEED ?= 1
+FLEET ?= 10
+SECONDS ?= 12
+
+soak:
+	SEEDS=$(SEEDS) SEED=$(SEED) FLEET=$(FLEET) SECONDS=$(SECONDS) \
+		go test ./cmd/cloverdoor -run '^TestSoak$$' -count=1 -v -timeout 24h
--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -493,6 +493,25 @@
 	}
 }
 
+// The same on connections that have yet to be accepted, or are accepted while the process is held up: the time spent in their
+// queue counts.
+func TestRequestInTheQueueTooLateIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	thaw := w.freeze()
+	late, inTime := w.dial(), w.dial()
+	late.ask(2, "artes", 500, 2, "")
+	inTime.ask(3, "artes", longWait, 3, "")
+	time.Sleep(600 * time.Millisecond) // not a race: it is by this that the first one's time is over
+	thaw()
+	if a := receive(t, late.answers, "refusal"); a.id != 2 || a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, inTime.answers, "answer"); a.id != 3 || a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
 // A client that reads slowly and has ended its own side gets all answers that were given before, and one final answer
 // to what was still open.
 func TestHalfClosedSlowReader(t *testing.T) {
--- a/cmd/cloverdoor/fault_test.go
+++ b/cmd/cloverdoor/fault_test.go
@@ -228,11 +228,11 @@
 	return d
 }
 
-// soak plays one script on both sides of the program and its coordinator, with the same traffic, and returns the
+// playScript plays one script on both sides of the program and its coordinator, with the same traffic, and returns the
 // outcomes that the program has counted and the faults that have fired. The program's time stands still while a request
 // is open, and moves on by a step between two: how long the machine takes for anything shows nowhere. Where slow is set,
 // some answers take longer than the program waits for one before it asks again.
-func soak(t *testing.T, length time.Duration, slow bool) (figures, faults string) {
+func playScript(t *testing.T, length time.Duration, slow bool) (figures, faults string) {
 	w := prepare(t)
 	w.clock = newSteps(t)
 	calls := 0
@@ -304,7 +304,7 @@
 	var figures, faults [2]string
 	var both sync.WaitGroup
 	for i := range figures {
-		both.Go(func() { figures[i], faults[i] = soak(t, length, i == 1) })
+		both.Go(func() { figures[i], faults[i] = playScript(t, length, i == 1) })
 	}
 	both.Wait()
 	if figures[0] != figures[1] {
--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -26,6 +26,9 @@
 // logPatience is how long the end of the program waits for its last lines to be written.
 const logPatience = 200 * time.Millisecond
 
+// violated is called when the program finds that it has broken a rule; nil in service, where that is only counted and logged.
+var violated func(text string)
+
 // config is the file that BALANCER_CONFIG names.
 type config struct {
 	Name   string `json:"name"`
@@ -80,7 +83,7 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg.proxy.LogDropped = out.Dropped
+	cfg.proxy.LogDropped, cfg.proxy.Violated = out.Dropped, violated
 	p := proxy.New(loop, cfg.proxy, logger)
 	if err := openAddresses(p, cfg); err != nil {
 		return err
--- a/cmd/cloverdoor/system_test.go
+++ b/cmd/cloverdoor/system_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,8 +19,95 @@
 // CALL:ERRNO:FROM-TO, where FROM and TO count the calls, or halfwrite:TEXT for writes that stop for good behind TEXT.
 const brokenCalls = "CLOVERDOOR_TEST_FAULTS"
 
+// randomFailures is the environment variable that has system calls fail by a seed, now and then.
+const randomFailures = "CLOVERDOOR_TEST_RANDOM_FAULTS"
+
+const (
+	failureChance = 0.01
+	shortChance   = 0.05 // of a read or write that does only a part
+)
+
+// breakRandomly has every call of the table fail now and then, in the ways that its manual page lists. What ends a connection
+// for good happens only on those that the program has made itself: a client's is whole, and its requests are owed an answer.
+func breakRandomly() {
+	seed, err := strconv.ParseUint(os.Getenv(randomFailures), 10, 64)
+	if err != nil {
+		return
+	}
+	rng, real, own := rand.New(rand.NewPCG(seed, 5)), net.System, map[int]bool{}
+	fails := func(codes ...unix.Errno) error {
+		if rng.Float64() < failureChance {
+			return codes[rng.IntN(len(codes))]
+		}
+		return nil
+	}
+	net.System.Socket = func(family, kind, protocol int) (int, error) {
+		if err := fails(unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM); err != nil {
+			return -1, err
+		}
+		fd, err := real.Socket(family, kind, protocol)
+		own[fd] = err == nil
+		return fd, err
+	}
+	net.System.Connect = func(fd int, addr unix.Sockaddr) error {
+		if err := fails(unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.EAGAIN); err != nil {
+			return err
+		}
+		err := real.Connect(fd, addr)
+		if err == unix.EINPROGRESS && rng.Float64() < failureChance {
+			return unix.EINTR
+		}
+		return err
+	}
+	net.System.Accept = func(fd, flags int) (int, error) {
+		err := fails(unix.ECONNABORTED, unix.EINTR, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPROTO, unix.EPERM,
+			unix.ENETDOWN, unix.EHOSTUNREACH)
+		if err != nil {
+			return -1, err
+		}
+		accepted, err := real.Accept(fd, flags)
+		own[accepted] = false
+		return accepted, err
+	}
+	transfer := func(call func(int, []byte) (int, error), ends ...unix.Errno) func(int, []byte) (int, error) {
+		return func(fd int, data []byte) (int, error) {
+			if err := fails(unix.EINTR, unix.EINTR, unix.ENOBUFS, unix.ENOMEM); err != nil {
+				return -1, err
+			}
+			if own[fd] && rng.Float64() < failureChance/4 {
+				return -1, ends[rng.IntN(len(ends))]
+			}
+			if len(data) > 1 && rng.Float64() < shortChance {
+				data = data[:1+rng.IntN(len(data)-1)]
+			}
+			return call(fd, data)
+		}
+	}
+	net.System.Read = transfer(real.Read, unix.ECONNRESET, unix.ETIMEDOUT, unix.EHOSTUNREACH)
+	net.System.Write = transfer(real.Write, unix.EPIPE, unix.ECONNRESET, unix.ETIMEDOUT, unix.EHOSTUNREACH)
+	net.System.SetOption = func(fd, level, option, value int) error {
+		if err := fails(unix.ENOBUFS, unix.ENOMEM); err != nil {
+			return err
+		}
+		return real.SetOption(fd, level, option, value)
+	}
+	net.System.Control = func(epoll, operation, fd int, event *unix.EpollEvent) error {
+		if err := fails(unix.ENOMEM, unix.ENOSPC); err != nil {
+			return err
+		}
+		return real.Control(epoll, operation, fd, event)
+	}
+	net.System.Wait = func(epoll int, events []unix.EpollEvent, millis int) (int, error) {
+		if err := fails(unix.EINTR); err != nil {
+			return -1, err
+		}
+		return real.Wait(epoll, events, millis)
+	}
+}
+
 // breakCalls puts the failing calls into the program's table.
 func breakCalls() {
+	breakRandomly()
 	for _, word := range strings.Fields(os.Getenv(brokenCalls)) {
 		call, rest, _ := strings.Cut(word, ":")
 		if call == "halfwrite" {
--- /dev/null
+++ b/internal/soak/coordinator.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	tickEvery = time.Second
+	// slowByte is how long a slow coordinator takes over each byte of a line.
+	slowByte = 25 * time.Millisecond
+)
+
+// mode is how a coordinator behaves to one proxy.
+type mode int
+
+const (
+	sound  mode = iota
+	down        // it refuses connections, and its streams have ended
+	silent      // its streams stay open and bring nothing
+	slow        // they bring a byte at a time
+)
+
+// coordinator stands in for the coordinator: each proxy has an address of its own for it, so that what was told to whom is known.
+type coordinator struct {
+	h      *History
+	mu     sync.Mutex
+	lines  []string // of the events, the first has number 1
+	events []*Told
+	posts  map[int]*post // by proxy
+}
+
+// post is the coordinator's address for one proxy.
+type post struct {
+	c        *coordinator
+	proxy    int
+	addr     string
+	mode     mode
+	listener net.Listener
+	streams  map[net.Conn]bool
+}
+
+func newCoordinator(h *History) *coordinator { return &coordinator{h: h, posts: map[int]*post{}} }
+
+// post opens the address for a proxy.
+func (c *coordinator) post(proxy int, addr string) error {
+	p := &post{c: c, proxy: proxy, addr: addr, streams: map[net.Conn]bool{}}
+	c.mu.Lock()
+	c.posts[proxy] = p
+	c.mu.Unlock()
+	return p.listen()
+}
+
+func (p *post) listen() error {
+	ln, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.c.mu.Lock()
+	p.listener, p.addr = ln, ln.Addr().String()
+	p.c.mu.Unlock()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn)
+		}
+	}()
+	return nil
+}
+
+// set changes how the coordinator behaves to a proxy.
+func (c *coordinator) set(proxy int, m mode) {
+	c.mu.Lock()
+	p := c.posts[proxy]
+	before := p.mode
+	p.mode = m
+	if m == down && before != down {
+		p.listener.Close() //nolint:errcheck // it listens no more in any case
+		for conn := range p.streams {
+			conn.Close() //nolint:errcheck // it may have ended
+		}
+	}
+	c.mu.Unlock()
+	if before == down && m != down {
+		for p.listen() != nil { // its port is taken by a connection for a moment
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func (c *coordinator) modeOf(p *post) mode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return p.mode
+}
+
+// add tells an event to everybody. Its line gets the next number in place of the verb.
+func (c *coordinator) add(e *Told, format string) {
+	c.mu.Lock()
+	e.Index = len(c.events) + 1
+	e.At, e.To = c.h.Now(), map[int]time.Duration{}
+	c.events = append(c.events, e)
+	line := fmt.Sprintf(format, e.Index)
+	c.lines = append(c.lines, line)
+	c.mu.Unlock()
+	c.h.do(func() { c.h.Events = append(c.h.Events, e) })
+	c.h.Note("coord", "event %s", line)
+}
+
+// known are the events so far, as a configuration holds them.
+func (c *coordinator) known() (index int, updates string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sound := slices.DeleteFunc(slices.Clone(c.lines), func(line string) bool { return !strings.HasPrefix(line, "{\"index\"") })
+	return len(c.lines), "[" + strings.Join(sound, ",") + "]"
+}
+
+func (c *coordinator) after(index int) (line string, e *Told, last int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if index < len(c.lines) {
+		return c.lines[index], c.events[index], len(c.lines)
+	}
+	return "", nil, len(c.lines)
+}
+
+// serve brings the events to one follower.
+func (p *post) serve(conn net.Conn) {
+	p.c.mu.Lock()
+	p.streams[conn] = true
+	p.c.mu.Unlock()
+	defer func() {
+		p.c.mu.Lock()
+		delete(p.streams, conn)
+		p.c.mu.Unlock()
+		conn.Close() //nolint:errcheck // it may have ended
+	}()
+	in := bufio.NewReader(conn)
+	line, err := in.ReadString('\n')
+	var index int
+	if _, scan := fmt.Sscanf(line, "follow %d", &index); err != nil || scan != nil {
+		return
+	}
+	p.c.h.Note("coord", "proxy-%d follows from %d", p.proxy, index)
+	ended := make(chan struct{})
+	go func() {
+		in.ReadByte() //nolint:errcheck // nothing comes; its end does
+		close(ended)
+	}()
+	for ticked := time.Now(); ; {
+		select {
+		case <-ended:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		if p.c.modeOf(p) == silent {
+			continue
+		}
+		text, event, last := p.c.after(index)
+		if event == nil && time.Since(ticked) < tickEvery {
+			continue
+		}
+		if event == nil {
+			ticked = time.Now()
+			text = fmt.Sprint(last)
+		}
+		if !p.bring(conn, text+"\n") {
+			return
+		}
+		if event != nil {
+			index++
+			p.c.h.do(func() {
+				if _, told := event.To[p.proxy]; !told {
+					event.To[p.proxy] = p.c.h.Now()
+				}
+			})
+			p.c.h.Note("coord", "told proxy-%d event %d", p.proxy, event.Index)
+		}
+	}
+}
+
+// bring writes a line, as fast as the coordinator is just then.
+func (p *post) bring(conn net.Conn, line string) bool {
+	for len(line) > 0 {
+		size := len(line)
+		if p.c.modeOf(p) == slow {
+			size = 1
+			time.Sleep(slowByte)
+		}
+		if _, err := conn.Write([]byte(line[:size])); err != nil {
+			return false
+		}
+		line = line[size:]
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/history.go
@@ -0,0 +1,176 @@
+// Package soak plays a fleet of edge proxies through troubles that are drawn by seed, on loopback, and checks the rules by what
+// clients, caches and the coordinator saw: never by what a proxy says of itself. It knows the proxy as a program to start; the
+// program under test is a test binary, which lets system calls fail.
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Record is one line of the timeline.
+type Record struct {
+	At   time.Duration // since the start
+	Who  string
+	What string
+}
+
+// String is the record as it is kept in a file.
+func (r Record) String() string {
+	return fmt.Sprintf("%9.3f %-10s %s", r.At.Seconds(), r.Who, r.What)
+}
+
+// Answer is one final answer, as a client read it.
+type Answer struct {
+	At         time.Duration
+	Status     string // of the CGI response; empty: END_REQUEST alone
+	Overloaded bool   // the protocol's own refusal
+	Body       string // its first bytes, which name the call that served it
+}
+
+// Refused says that the answer promises that nothing ran.
+func (a Answer) Refused() bool { return a.Overloaded || a.Status == "503" || a.Status == "429" }
+
+// Request is one request, as its client knows it.
+type Request struct {
+	ID, Class, Object string
+	Group             int
+	Proxy, Life       int
+	Sent              time.Duration // when its last byte was written; 0: it was not written whole
+	Wait              time.Duration
+	Left              time.Duration // when its client closed or took it back; 0: it did not
+	FirstOnConnection bool
+	Excused           bool          // nothing is owed: it can't be read, or crossed the close of an idle connection
+	Ended             time.Duration // when its connection ended without an answer; 0: it did not
+	Answers           []Answer
+}
+
+// Call is one call, as its server read it.
+type Call struct {
+	Server, ID, Class, Object, Source string
+	First, Whole                      time.Duration // when its first byte and its last were read
+	Wait, MaxAge                      time.Duration
+	Held                              bool // its server did not read just before: it may have been sent earlier
+	Ran                               bool
+	Word                              string
+	Made                              time.Time // of the copy that was served
+	Serial                            int       // names the call in the answer's body
+}
+
+// Told is an event of the coordinator.
+type Told struct {
+	Index   int
+	At      time.Duration         // when the coordinator had it
+	To      map[int]time.Duration // when its line had been written to each proxy
+	Leaving []string              // servers that it says drain or are gone
+	Back    []string              // servers that it says serve
+	Object  string                // that it purges
+	Group   int                   // that it purges; -1: none
+	Moment  time.Time             // of the purge
+}
+
+// Start is a late start of a server.
+type Start struct {
+	Server string
+	At     time.Duration
+	Index  int // of the event that tells it
+}
+
+// Life is one process, from its start to its end.
+type Life struct {
+	Proxy, Number          int
+	Started, Ready, Termed time.Duration // 0: not
+	Killed, Exited         time.Duration
+	Stopped                [][2]time.Duration // spans without its core
+	Known                  int                // the last event in its configuration
+	ExitError              string
+	MostMemoryKB           int
+	MostDescriptors        int
+}
+
+// History is all that was seen in one run.
+type History struct {
+	Limits   Limits
+	Requests []*Request
+	Calls    []*Call
+	Events   []*Told
+	Starts   []Start
+	Lives    []*Life
+
+	mu       sync.Mutex
+	start    time.Time
+	timeline []Record
+}
+
+// Limits are the figures that the configuration tells the proxies.
+type Limits struct {
+	MemoryKB, Descriptors  int
+	DrainGrace, PurgeGrace time.Duration
+	ClearedWithin          time.Duration
+	Multiple, Share        float64 // of the cold budget
+	Weight                 float64 // transfers that a cache's link carries
+	Work                   time.Duration
+	Window, WarmWithin     time.Duration
+	LongestWait            time.Duration
+}
+
+// NewHistory begins a history.
+func NewHistory(limits Limits) *History { return &History{Limits: limits, start: time.Now()} }
+
+// Now is the time since the start.
+func (h *History) Now() time.Duration { return time.Since(h.start) }
+
+// Note adds a line to the timeline.
+func (h *History) Note(who, format string, args ...any) {
+	h.do(func() {
+		h.timeline = append(h.timeline, Record{At: h.Now(), Who: who, What: fmt.Sprintf(format, args...)})
+	})
+}
+
+// do changes what is shared by all who take part.
+func (h *History) do(change func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change()
+}
+
+// About returns the timeline around a violation: what names one of the given words within a span, and all troubles.
+func (h *History) About(at, span time.Duration, words ...string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var b strings.Builder
+	slices.SortStableFunc(h.timeline, func(a, b Record) int { return int(a.At - b.At) })
+	for _, r := range h.timeline {
+		named := r.Who == "trouble"
+		for _, word := range words {
+			named = named || word != "" && (strings.Contains(r.What, word) || r.Who == word)
+		}
+		if named && r.At > at-span && r.At < at+span {
+			fmt.Fprintln(&b, r)
+		}
+	}
+	return b.String()
+}
+
+// life finds a process.
+func (h *History) life(proxy, number int) *Life {
+	for _, l := range h.Lives {
+		if l.Proxy == proxy && l.Number == number {
+			return l
+		}
+	}
+	return nil
+}
+
+// stopped is for how long a process was without its core in a span.
+func (l *Life) stopped(from, to time.Duration) (sum time.Duration) {
+	for _, s := range l.Stopped {
+		if begin, end := max(from, s[0]), min(to, s[1]); end > begin {
+			sum += end - begin
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,289 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one edge proxy: a place in the fleet, with one program after another in it.
+type process struct {
+	r           *run
+	number      int
+	addr, admin string
+	config      string
+	mu          sync.Mutex
+	cmd         *exec.Cmd
+	life        *Life
+	exited      chan struct{} // of the life under way
+	admits      bool          // clients may connect
+	takes       bool          // requests may be sent on connections that are open
+	environment []string      // of the next life
+	noReader    bool          // nobody reads its log in the next life
+	settings    map[string]any
+	busy        sync.Mutex // held by the trouble that it is in
+}
+
+// writeConfig writes the configuration with the events so far.
+func (p *process) writeConfig() (known int, err error) {
+	index, updates := p.r.coordinator.known()
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("proxy-%d", p.number), "listen": p.addr, "admin_addr": p.admin, "seed": fmt.Sprintf("%x", p.r.seed+uint64(p.number)),
+		"coordinator": p.r.coordinator.posts[p.number].addr, "flow_bytes_per_s": flowBytes,
+		"limits":   map[string]any{"cores": 1, "memory_mb": p.r.limits.MemoryKB >> 10, "sockets": p.r.limits.Descriptors},
+		"known":    map[string]any{"index": index, "updates": json.RawMessage(updates)},
+		"settings": p.settings,
+	})
+	if err != nil {
+		return 0, err
+	}
+	next := p.config + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return 0, err
+	}
+	return index, os.Rename(next, p.config)
+}
+
+// start begins a new life, and lets clients in when it is ready.
+func (p *process) start() error {
+	known, err := p.writeConfig()
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	number := 1
+	if p.life != nil {
+		number = p.life.Number + 1
+	}
+	p.life = &Life{Proxy: p.number, Number: number, Started: p.r.h.Now(), Known: known}
+	p.exited = make(chan struct{})
+	p.cmd = exec.Command(p.r.options.Program)
+	p.cmd.Env = append(append(os.Environ(), p.r.options.Environment...), "BALANCER_CONFIG="+p.config)
+	p.cmd.Env = append(p.cmd.Env, p.environment...)
+	log, err := p.cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	life, cmd, exited := p.life, p.cmd, p.exited
+	p.r.h.do(func() { p.r.h.Lives = append(p.r.h.Lives, life) })
+	p.r.h.Note(p.name(), "life %d begins, knows %d events, %v", number, known, p.environment)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		p.readLog(log)
+	}()
+	go p.await(life, cmd, exited, read)
+	go p.awaitReady(life)
+	return nil
+}
+
+func (p *process) name() string { return fmt.Sprintf("proxy-%d", p.number) }
+
+// readLog takes the log into the timeline. While nobody is to read it, it waits.
+func (p *process) readLog(log io.Reader) {
+	p.mu.Lock()
+	unread := p.noReader
+	p.noReader = false
+	p.mu.Unlock()
+	if unread {
+		p.r.h.Note("trouble", "nobody reads the log of %s", p.name())
+		<-p.exited
+	}
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.r.h.Note(p.name(), "log: %s", lines.Text())
+	}
+	io.Copy(io.Discard, log) //nolint:errcheck // its end is what counts
+}
+
+// await takes note of the end of a life.
+func (p *process) await(life *Life, cmd *exec.Cmd, exited, read chan struct{}) {
+	state, err := cmd.Process.Wait()
+	p.r.h.do(func() {
+		life.Exited = p.r.h.Now()
+		if err != nil || !state.Success() {
+			life.ExitError = fmt.Sprint(state, err)
+		}
+	})
+	close(exited)
+	<-read
+	p.r.h.Note(p.name(), "life %d ended: %v", life.Number, state)
+	p.mu.Lock()
+	if p.life == life {
+		p.admits, p.takes = false, false
+	}
+	p.mu.Unlock()
+}
+
+// awaitReady asks until the process says that it can serve.
+func (p *process) awaitReady(life *Life) {
+	for ended := p.exited; ; {
+		select {
+		case <-ended:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		status, err := p.call("GET", "/ops/readiness")
+		if err != nil || status != 200 {
+			continue
+		}
+		p.r.h.do(func() { life.Ready = p.r.h.Now() })
+		p.r.h.Note(p.name(), "life %d is ready", life.Number)
+		p.mu.Lock()
+		if p.life == life && life.Termed == 0 {
+			p.admits, p.takes = true, true
+		}
+		p.mu.Unlock()
+		return
+	}
+}
+
+// call asks the operators' address.
+func (p *process) call(method, path string) (status int, err error) {
+	conn, err := net.DialTimeout("tcp", p.admin, time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(2 * time.Second)) //nolint:errcheck // shows in what is read
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\n\r\n", method, path)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// signal sends one to the life under way.
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd.Process.Signal(s) //nolint:errcheck // it may have ended
+}
+
+// freeze takes the core away for a time.
+func (p *process) freeze(length time.Duration) {
+	p.mu.Lock()
+	life := p.life
+	p.mu.Unlock()
+	from := p.r.h.Now()
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	p.signal(syscall.SIGCONT)
+	p.r.h.do(func() { life.Stopped = append(life.Stopped, [2]time.Duration{from, p.r.h.Now()}) })
+}
+
+// term ends the life as at a planned restart, and waits for its end. One that is late is killed.
+func (p *process) term() {
+	p.mu.Lock()
+	life, exited := p.life, p.exited
+	p.r.h.do(func() { life.Termed = p.r.h.Now() })
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+	time.AfterFunc(250*time.Millisecond, func() { p.close(life, &p.admits) })
+	time.AfterFunc(450*time.Millisecond, func() { p.close(life, &p.takes) })
+	select {
+	case <-exited:
+	case <-time.After(p.r.limits.LongestWait + killTime + life.stopped(0, p.r.h.Now()) + machineSlack):
+		p.kill()
+	}
+}
+
+// close ends what clients may do in a life.
+func (p *process) close(life *Life, gate *bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.life == life {
+		*gate = false
+	}
+}
+
+// kill ends the life at once.
+func (p *process) kill() {
+	p.mu.Lock()
+	life, exited := p.life, p.exited
+	p.admits, p.takes = false, false
+	p.r.h.do(func() { life.Killed = p.r.h.Now() })
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+	<-exited
+}
+
+// open says what clients may do, and in which life.
+func (p *process) open() (admits, takes bool, life int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.life == nil {
+		return false, false, 0
+	}
+	return p.admits, p.takes, p.life.Number
+}
+
+// measure takes note of the memory and the descriptors held.
+func (p *process) measure() {
+	p.mu.Lock()
+	life, pid := p.life, p.cmd.Process.Pid
+	p.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	kb := 0
+	if fields := strings.Fields(peak); len(fields) > 0 {
+		kb, _ = strconv.Atoi(fields[0])
+	}
+	descriptors, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	p.r.h.do(func() {
+		life.MostMemoryKB = max(life.MostMemoryKB, kb)
+		life.MostDescriptors = max(life.MostDescriptors, len(descriptors))
+	})
+}
+
+// breakConfig leaves a configuration that was cut off.
+func (p *process) breakConfig() error {
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.config, text[:len(text)/2], 0o600)
+}
+
+// drain has the proxy emptied on an operator's order, and takes that back. Clients go as the front tells them to.
+func (p *process) drain(length time.Duration) {
+	if status, err := p.call("PUT", "/ops/drain/start"); err != nil || status != 200 {
+		p.r.h.Note(p.name(), "does not drain: %d %v", status, err)
+		return
+	}
+	p.mu.Lock()
+	life := p.life
+	p.mu.Unlock()
+	time.Sleep(200 * time.Millisecond)
+	p.close(life, &p.admits)
+	time.Sleep(length)
+	if status, err := p.call("PUT", "/ops/drain/stop"); err != nil || status != 200 {
+		p.r.h.Note(p.name(), "does not serve again: %d %v", status, err)
+		return
+	}
+	p.mu.Lock()
+	if p.life == life && life.Termed == 0 && life.Exited == 0 {
+		p.admits = true
+	}
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,300 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cloverdoor/internal/fault"
+	"cloverdoor/internal/relay"
+)
+
+const (
+	reloadSignal = syscall.SIGHUP
+	flowBytes    = 200_000 // a second of one transfer: an object takes 50 ms
+	cacheWeight  = 3.0     // transfers
+	cacheCount   = 4
+	purgeEvery   = 400 * time.Millisecond
+	purgeDelay   = 40 * time.Millisecond // until the coordinator has it
+	measureEvery = 500 * time.Millisecond
+	askEvery     = 80 * time.Millisecond // of each proxy's clients, in the mean
+)
+
+// Options say what is run.
+type Options struct {
+	Program      string   // test binary that serves as the proxy
+	Environment  []string // that makes it do so
+	ClockOffset  string   // environment variable by which its clock is wrong
+	FailingCalls string   // environment variable by which its system calls fail, by a seed
+	Host         func(int) string
+	Fleet        int
+	Length       time.Duration
+	Folder       string // for the configurations
+	Keep         string // folder for what is kept of violations; empty: nothing is
+}
+
+// Result is what one seed brought.
+type Result struct {
+	Seed       uint64
+	Schedule   []Trouble
+	Violations []Violation
+	Requests   int
+	Served     int
+}
+
+// run is one run under way.
+type run struct {
+	options     Options
+	seed        uint64
+	limits      Limits
+	h           *History
+	coordinator *coordinator
+	caches      []*server
+	parent      *server
+	origin      *server
+	fleet       []*process
+	relays      []*relay.Relay
+	failure     chan error
+	over        chan struct{}
+}
+
+// Run plays one seed and checks what was seen.
+func Run(seed uint64, o Options) (Result, error) {
+	return play(seed, o, Schedule(seed, o.Length, o.Fleet, cacheCount))
+}
+
+func play(seed uint64, o Options, schedule []Trouble) (Result, error) {
+	limits := Limits{MemoryKB: 64 << 10, Descriptors: 256, DrainGrace: 500 * time.Millisecond, PurgeGrace: 300 * time.Millisecond,
+		ClearedWithin: 6 * time.Second, Multiple: 2, Share: 0.1, Weight: cacheWeight, Work: bodySize * time.Second / flowBytes,
+		Window: time.Second, WarmWithin: 4 * time.Second, LongestWait: 3 * time.Second}
+	r := &run{options: o, seed: seed, limits: limits, h: NewHistory(limits), failure: make(chan error, 100), over: make(chan struct{})}
+	defer r.end()
+	if err := r.begin(); err != nil {
+		return Result{}, err
+	}
+	r.playAll(schedule)
+	select {
+	case err := <-r.failure:
+		return Result{}, err
+	default:
+	}
+	result := Result{Seed: seed, Schedule: schedule, Violations: Check(r.h), Requests: len(r.h.Requests)}
+	for _, q := range r.h.Requests {
+		if len(q.Answers) > 0 && q.Answers[0].Status == "200" {
+			result.Served++
+		}
+	}
+	if len(result.Violations) > 0 && o.Keep != "" {
+		return result, r.keep(result)
+	}
+	return result, nil
+}
+
+// must takes note of a failure of the soak itself.
+func (r *run) must(err error) {
+	if err != nil {
+		r.failure <- err
+	}
+}
+
+// begin starts all that takes part.
+func (r *run) begin() (err error) {
+	serial := &counter{}
+	r.coordinator = newCoordinator(r.h)
+	make := func(id, kind, zone string) *server {
+		if err != nil {
+			return nil
+		}
+		var s *server
+		if s, err = newServer(r.h, id, kind, zone, r.options.Host(1), r.seed+uint64(serial.next()), serial); err == nil {
+			err = r.relayTo(s)
+		}
+		return s
+	}
+	for i := range cacheCount {
+		r.caches = append(r.caches, make(fmt.Sprintf("cache-%d", i), "std", "edge"))
+	}
+	r.parent, r.origin = make("parent", "parent", "hub"), make("origin", "origin", "hub")
+	if err != nil {
+		return err
+	}
+	var entries []string
+	first := &Told{Group: -1}
+	for _, s := range r.servers() {
+		entries = append(entries, s.entry())
+		first.Back = append(first.Back, s.id)
+	}
+	r.coordinator.add(first, `{"index":%d,"endpoints":{"version":1,"full":true,"servers":[`+strings.Join(entries, ",")+`]}}`)
+	for i := range r.options.Fleet {
+		p := &process{r: r, number: i, config: filepath.Join(r.options.Folder, fmt.Sprintf("proxy-%d.json", i)),
+			settings: settingsFor(i, r.options.Fleet, true)}
+		if err := r.coordinator.post(i, r.options.Host(2)); err != nil {
+			return err
+		}
+		if p.addr, p.admin, err = freeAddr(r.options.Host(10+i)), freeAddr(r.options.Host(10+i)), nil; p.addr == "" || p.admin == "" {
+			return fmt.Errorf("no free address for proxy %d", i)
+		}
+		r.fleet = append(r.fleet, p)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) servers() []*server { return append(slices.Clone(r.caches), r.parent, r.origin) }
+
+// freeAddr finds a port of a host that nothing uses.
+func freeAddr(host string) string {
+	ln, err := net.Listen("tcp", host)
+	if err != nil {
+		return ""
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// relayTo puts a relay before every second cache, which breaks some connections by the seed.
+func (r *run) relayTo(s *server) error {
+	if s.kind != "std" || len(r.caches)%2 == 0 {
+		return nil
+	}
+	script, err := fault.Parse(fmt.Sprintf("seed %d\nlink c listen %s to %s\n"+
+		"c chance 0.1 : delay 5ms jitter 10ms\nc up chance 0.03 byte 300 : reset\nc chance 0.03 : pieces 50 for 500ms\n"+
+		"c down chance 0.02 byte 5000 : halfclose\n", r.seed, r.options.Host(3), s.addr))
+	if err != nil {
+		return err
+	}
+	between, err := relay.Start(script, func(e fault.Event) { r.h.Note("relay", "%s %v", s.id, e) })
+	if err != nil {
+		return err
+	}
+	r.relays = append(r.relays, between)
+	s.relayed = between.Addr("c").String()
+	return nil
+}
+
+// listed is where proxies find the server.
+func (s *server) listed() string {
+	if s.relayed != "" {
+		return s.relayed
+	}
+	return s.addr
+}
+
+// playAll plays the schedule, and lets what is open come to its end.
+func (r *run) playAll(schedule []Trouble) {
+	var clients, troubles sync.WaitGroup
+	stopAsking := make(chan struct{})
+	for _, p := range r.fleet {
+		d := newDriver(p, r.seed, askEvery)
+		clients.Go(func() { d.drive(stopAsking) })
+	}
+	troubles.Go(func() { r.purgeAlong(stopAsking) })
+	troubles.Go(func() { r.measure(stopAsking) })
+	for _, t := range schedule {
+		troubles.Go(func() {
+			time.Sleep(max(0, t.At-r.h.Now()))
+			r.play(t)
+		})
+	}
+	time.Sleep(max(0, r.options.Length-quietEnd-r.h.Now()))
+	close(stopAsking)
+	clients.Wait()
+	troubles.Wait()
+	time.Sleep(quietEnd)
+	for _, p := range r.fleet { // an ordered end tells whether anything was left open
+		troubles.Go(p.term)
+	}
+	troubles.Wait()
+}
+
+// purgeAlong purges objects all the time.
+func (r *run) purgeAlong(over <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(r.seed, 13))
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(time.Duration(rng.ExpFloat64() * float64(purgeEvery))):
+			r.purge(fmt.Sprintf("%016x", rng.IntN(objects)), -1)
+		}
+	}
+}
+
+func (r *run) measure(over <-chan struct{}) {
+	for {
+		for _, p := range r.fleet {
+			p.measure()
+		}
+		select {
+		case <-over:
+			return
+		case <-time.After(measureEvery):
+		}
+	}
+}
+
+// end stops all that may still run.
+func (r *run) end() {
+	for _, p := range r.fleet {
+		if p.cmd != nil && p.cmd.Process != nil {
+			p.cmd.Process.Kill() //nolint:errcheck // it may have ended
+		}
+	}
+	for _, s := range r.servers() {
+		if s != nil {
+			s.crash()
+		}
+	}
+	for _, between := range r.relays {
+		between.Close()
+	}
+	r.coordinator.mu.Lock()
+	defer r.coordinator.mu.Unlock()
+	for _, p := range r.coordinator.posts {
+		if p.listener != nil {
+			p.listener.Close() //nolint:errcheck // it listens no more in any case
+		}
+	}
+}
+
+// keep writes the schedule, and the timeline around each violation.
+func (r *run) keep(result Result) error {
+	folder := filepath.Join(r.options.Keep, fmt.Sprintf("seed-%d", result.Seed))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, %d proxies, %v\n\n%s\n", result.Seed, r.options.Fleet, r.options.Length, describe(result.Schedule))
+	for _, v := range result.Violations {
+		fmt.Fprintf(&b, "\n%v\n%s", v, r.h.About(v.At, 4*time.Second, v.Words...))
+	}
+	return os.WriteFile(filepath.Join(folder, "violations.txt"), []byte(b.String()), 0o644)
+}
+
+// settingsFor are the settings of one proxy.
+func settingsFor(index, fleet int, secondCopies bool) map[string]any {
+	class := func(name, effect string, gain float64) map[string]any {
+		return map[string]any{"name": name, "semantics": effect, "promise-us": 500000, "deadline-us": 2000000, "gain": gain, "aim-stretch": 2.0}
+	}
+	return map[string]any{
+		"areas": []string{"hub", "edge"}, "host-types": []string{"std", "parent", "origin"}, "zone": 1,
+		"group-size": fleet, "index": index, "weight-source": "nominal",
+		"classes": []any{class(classRead, "read_like", 2), class(classWrite, "non_idempotent", 3)},
+		"domain": map[string]any{"direct": true, "root-kind": 2, "upper-kind": 1, "can-join": true, "pass-on": []bool{false, true},
+			"cleared-within-us": 6000000, "purge-slack-us": 300000, "peers-fill": "location", "one-flow-kb-per-s": flowBytes / 1000,
+			"count-by-zone": []int{0, fleet}, "attached-to": []int{0, 0}, "pipe-kb-per-s": []float64{0, 4000},
+			"parent-floor": 0.5, "upper-cold-us": 1, "parent-limit-factor": 2},
+		"limits": map[string]any{"connect-timeout-us": 400000, "conn-idle-us": 15000000, "streams-per-conn": 32,
+			"max-attempts": 8, "may-cancel": true, "second-copies": secondCopies, "max-retry-after-us": 500000},
+		"rules": map[string]any{"start-capacity": 0.1, "warm-within-us": 4000000, "fall-multiple": 2, "fall-us": 1000000},
+	}
+}
