Count the time that a connection waits to be accepted while the process is held up

Cause: Loop.Stalled looks at the time since the last look at what is ready. A connection that waited in the accept queue is accepted in the first turn after the process was held up and read in the next one, whose last look was just before: nothing was taken off. Listener.take marked only connections that had waited for room.

Change: a connection that is accepted after the process was held up asks the system, at its first read, how long ago the data came (TCP_INFO), else takes the time for which the process was held up.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -69,7 +69,8 @@
 	eof        bool          // and all that it sent has been handed over
 	came       Clock         // an accepted connection was made after this; 0: not known
 	since      Clock         // when it was begun or accepted
-	queuedLong bool          // it may have waited to be accepted
+	queuedLong bool          // it may have waited to be accepted for long
+	inQueue    time.Duration // for how long the process was held up before
 	cut        Clock         // when the last turn left something unread; 0: it did not
 	waited     time.Duration // see Waited
 	took       time.Duration // to come up
@@ -244,7 +245,7 @@
 	switch {
 	case c.queuedLong:
 		c.queuedLong = false
-		c.waited = sinceLastData(c.fd)
+		c.waited = c.sinceLastData()
 	case c.cut != 0:
 		c.waited = c.loop.now - c.cut
 	default:
@@ -252,13 +253,14 @@
 	}
 }
 
-// sinceLastData is how long ago the last segment with data came; 0 where the system does not tell.
-func sinceLastData(fd int) time.Duration {
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return 0
+// sinceLastData is how long ago the last segment with data came. Where the system does not tell, it is for how long the
+// process was held up before it accepted the connection.
+func (c *Conn) sinceLastData() time.Duration {
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err == nil {
+		return time.Duration(info.Last_data_recv) * time.Millisecond
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	return c.inQueue
 }
 
 // receive takes what has come. A connection that brings much is read on, within bounds: a client may have taken back
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -13,6 +13,9 @@
 // connections that wait would else wake the loop without end.
 const acceptPause = 20 * time.Millisecond
 
+// queuedAfter is the time in a queue that counts.
+const queuedAfter = 20 * time.Millisecond
+
 // mostAborted is how many connections in a row may turn out to be gone before the listener rests.
 const mostAborted = 64
 
@@ -142,7 +145,8 @@
 func (ln *Listener) take(fd int) {
 	l := ln.loop
 	c := &Conn{loop: l, fd: fd, up: true, events: unix.EPOLLIN | unix.EPOLLRDHUP, since: l.now, heard: l.now, wrote: l.now}
-	c.queuedLong = ln.behind
+	c.inQueue = l.Stalled(l.napped)
+	c.queuedLong = ln.behind || c.inQueue > queuedAfter
 	if !ln.behind {
 		c.came = l.lastPoll
 	}
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -28,7 +28,8 @@
 	held      int     // bytes held in all buffers and queues
 	read      []byte  // shared by all reads
 	events    []unix.EpollEvent
-	failures  int // of the wait, in a row
+	failures  int           // of the wait, in a row
+	napped    time.Duration // how long the last wait was to last at the most
 }
 
 // readSize is how much one connection may bring in one turn: none holds up the others.
@@ -90,6 +91,7 @@
 		most = min(most, l.timers[0].at-l.now)
 	}
 	most = l.clock.Nap(max(most, 0))
+	l.napped = most
 	millis := int((most + time.Millisecond - 1) / time.Millisecond)
 	n, err := System.Wait(l.epoll, l.events, millis)
 	if err := l.waitFailed(err); err != nil {
