Failing test: two requests on a connection that waits to be accepted

The time since the last data is that of the last request on the connection; an earlier one has waited for longer.

Change: the test sends a second request just before the process goes on.

--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -503,10 +503,14 @@
 	late.ask(2, "artes", 500, 2, "")
 	inTime.ask(3, "artes", longWait, 3, "")
 	time.Sleep(600 * time.Millisecond) // not a race: it is by this that the first one's time is over
+	late.ask(4, "artes", longWait, 4, "")
 	thaw()
 	if a := receive(t, late.answers, "refusal"); a.id != 2 || a.status != "503" {
 		t.Errorf("%+v", a)
 	}
+	if a := receive(t, late.answers, "answer"); a.id != 4 || a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
 	if a := receive(t, inTime.answers, "answer"); a.id != 3 || a.body != "fine" {
 		t.Errorf("%+v", a)
 	}
