Count a queued connection's time from its making, and listen for signals first of all

Cause: the time since the last data is that of the last request that came while the connection waited.

Change: the wait counts from the handshake (tcpi_last_data_sent, before anything is written); signals are listened for as the first act of the program. The soak sends SIGHUP no sooner than the platform does (not in the first second).

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -55,12 +55,13 @@
 
 // serve runs the program by a clock until it has been stopped. It exits with status 1 when that went wrong.
 func serve(clock net.TimeSource) {
+	signals := listenForSignals() // ahead of all else: one that comes early must not end the program
 	out := logging.NewWriter(os.Stderr)
 	name := "cloverdoor"
 	cfg, err := load(os.Getenv)
 	if err == nil {
 		name = "cloverdoor " + cfg.Name
-		err = run(cfg, clock, logging.New(out, cfg.Name), out)
+		err = run(cfg, clock, signals, logging.New(out, cfg.Name), out)
 	}
 	if err != nil {
 		fmt.Fprintf(out, "%s: %v\n", name, err) //nolint:errcheck // never fails
@@ -71,25 +72,31 @@
 	}
 }
 
-func run(cfg *config, clock net.TimeSource, logger *slog.Logger, out *logging.Writer) error {
+// signals are what the program is sent while it runs.
+type signals struct{ stop, reload chan os.Signal }
+
+func listenForSignals() signals {
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to stop
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func run(cfg *config, clock net.TimeSource, s signals, logger *slog.Logger, out *logging.Writer) error {
 	// A garbage collector that knows the limit works harder near it; the platform would kill the process.
 	debug.SetMemoryLimit(int64(cfg.proxy.Memory) * 6 / 10)
 	loop, err := net.NewLoop(clock)
 	if err != nil {
 		return err
 	}
-	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to stop
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	cfg.proxy.LogDropped, cfg.proxy.Violated = out.Dropped, violated
 	p := proxy.New(loop, cfg.proxy, logger)
 	if err := openAddresses(p, cfg); err != nil {
 		return err
 	}
 	p.Follow(cfg.coordinator, cfg.Known.Index)
-	return p.Run(proxy.Orders{Stop: stop, Reload: reload, Load: func() (proxy.Apply, error) {
+	return p.Run(proxy.Orders{Stop: s.stop, Reload: s.reload, Load: func() (proxy.Apply, error) {
 		now, err := load(os.Getenv)
 		if err != nil {
 			return nil, err
--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -245,7 +245,7 @@
 	switch {
 	case c.queuedLong:
 		c.queuedLong = false
-		c.waited = c.sinceLastData()
+		c.waited = c.sinceMade()
 	case c.cut != 0:
 		c.waited = c.loop.now - c.cut
 	default:
@@ -253,12 +253,12 @@
 	}
 }
 
-// sinceLastData is how long ago the last segment with data came. Where the system does not tell, it is for how long the
-// process was held up before it accepted the connection.
-func (c *Conn) sinceLastData() time.Duration {
+// sinceMade is how long ago the connection was made, before anything is written: what the peer sent first may have waited for
+// as long. Where the system does not tell, it is for how long the process was held up before it accepted the connection.
+func (c *Conn) sinceMade() time.Duration {
 	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err == nil {
-		return time.Duration(info.Last_data_recv) * time.Millisecond
+		return time.Duration(info.Last_data_sent) * time.Millisecond // counted from the handshake
 	}
 	return c.inQueue
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -256,6 +256,26 @@
 	})
 }
 
+// settledAfter is how long after a start the platform sends no order to read the configuration again.
+const settledAfter = time.Second
+
+// awaitSettled waits until the process may be sent one.
+func (p *process) awaitSettled() {
+	for {
+		p.mu.Lock()
+		life := p.life
+		p.mu.Unlock()
+		settled := false
+		p.r.h.do(func() {
+			settled = life.Exited != 0 || life.Ready != 0 && p.r.h.Now() > life.Started+settledAfter
+		})
+		if settled {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // breakConfig leaves a configuration that was cut off.
 func (p *process) breakConfig() error {
 	text, err := os.ReadFile(p.config)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -86,11 +86,13 @@
 		p.kill()
 		again()
 	case "reload":
+		p.awaitSettled()
 		p.settings = settingsFor(p.number, r.options.Fleet, t.At%2 == 0)
 		_, err := p.writeConfig()
 		r.must(err)
 		p.signal(reloadSignal)
 	case "broken-reload":
+		p.awaitSettled()
 		r.must(p.breakConfig())
 		p.signal(reloadSignal)
 	case "drain-order":
