--- a/cmd/cloverdoor/shutdown_test.go
+++ b/cmd/cloverdoor/shutdown_test.go
@@ -168,3 +168,35 @@
 		t.Error(err)
 	}
 }
+
+// What was taken before the order to stop is answered before the platform may kill the process, whatever its own deadline and
+// though its cache hangs.
+func TestTermAnswersWhatWasOpen(t *testing.T) {
+	const untilKill, step = 3700 * time.Millisecond, 50 * time.Millisecond
+	w := prepare(t)
+	w.clock = newSteps(t)
+	w.startBehind(w.cache, w.origin)
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	receive(t, w.cache.calls, "call")
+	c.ask(2, "registro", longWait, 2, "")
+	receive(t, w.origin.calls, "call")
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	w.awaitAlive("503")
+	for range untilKill/step - 1 {
+		w.clock.advance(step)
+	}
+	statuses := map[uint16]string{}
+	for range 2 {
+		select {
+		case a := <-c.answers:
+			statuses[a.id] = a.status
+		case <-time.After(time.Second):
+		}
+	}
+	if statuses[1] != "503" && statuses[1] != "502" || statuses[2] != "502" {
+		t.Errorf("%v", statuses)
+	}
+}
