Answer what was open at SIGTERM before the process may be killed

Cause: Proxy.stop set endBy, which Submit alone went by.

Change: stop shortens the deadlines of all open requests to endBy.

--- a/internal/proxy/phase.go
+++ b/internal/proxy/phase.go
@@ -5,6 +5,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"cloverdoor/internal/net"
 )
 
 const (
@@ -69,6 +71,19 @@
 	}
 	p.endBy = p.loop.Now() + min(maxDeadline, cmp.Or(p.set.Longest, maxDeadline)) + killTime - killLeft
 	p.lateAt = p.endBy - lateTime
+	for _, q := range p.requests {
+		p.shorten(q, p.endBy)
+	}
+}
+
+// shorten gives a request no more time than until a deadline.
+func (p *Proxy) shorten(q *request, deadline net.Clock) {
+	if q.deadline <= deadline {
+		return
+	}
+	q.deadline = deadline
+	p.loop.Stop(q.timer)
+	q.timer = p.loop.At(deadline, func() { p.expire(q) })
 }
 
 // handsOver says that another process may take clients from the sockets of this one: none has to come here any more.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -189,8 +189,35 @@
 	p.r.h.do(func() { life.Stopped = append(life.Stopped, [2]time.Duration{from, p.r.h.Now()}) })
 }
 
+// runsAfter is how long after its start a program surely listens for signals: one that comes before ends it.
+const runsAfter = 500 * time.Millisecond
+
+// settledAfter is how long after a start the platform sends no order to read the configuration again.
+const settledAfter = time.Second
+
+// awaitLife waits until the life under way has come so far, or has ended.
+func (p *process) awaitLife(reached func(l *Life, age time.Duration) bool) {
+	for done := false; !done; time.Sleep(10 * time.Millisecond) {
+		p.mu.Lock()
+		life := p.life
+		p.mu.Unlock()
+		p.r.h.do(func() { done = life.Exited != 0 || reached(life, p.r.h.Now()-life.Started) })
+	}
+}
+
+// awaitRunning waits until the program listens for signals.
+func (p *process) awaitRunning() {
+	p.awaitLife(func(l *Life, age time.Duration) bool { return l.Ready != 0 || age > runsAfter })
+}
+
+// awaitSettled waits until the process may be sent an order to read its configuration again.
+func (p *process) awaitSettled() {
+	p.awaitLife(func(l *Life, age time.Duration) bool { return l.Ready != 0 && age > settledAfter })
+}
+
 // term ends the life as at a planned restart, and waits for its end. One that is late is killed.
 func (p *process) term() {
+	p.awaitRunning()
 	p.mu.Lock()
 	life, exited := p.life, p.exited
 	p.r.h.do(func() { life.Termed = p.r.h.Now() })
@@ -256,26 +283,6 @@
 	})
 }
 
-// settledAfter is how long after a start the platform sends no order to read the configuration again.
-const settledAfter = time.Second
-
-// awaitSettled waits until the process may be sent one.
-func (p *process) awaitSettled() {
-	for {
-		p.mu.Lock()
-		life := p.life
-		p.mu.Unlock()
-		settled := false
-		p.r.h.do(func() {
-			settled = life.Exited != 0 || life.Ready != 0 && p.r.h.Now() > life.Started+settledAfter
-		})
-		if settled {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // breakConfig leaves a configuration that was cut off.
 func (p *process) breakConfig() error {
 	text, err := os.ReadFile(p.config)
