Failing tests: an event that meets a reused descriptor, and SIGTERM while accept fails

Need: found by looking for events that cross. A client's connection is evicted in the turn in which its own end is ready; the next client gets its descriptor number and is told that it has left. SIGTERM comes while the process has no descriptors: the socket is closed after 0.7 s with connections in its queue.

--- a/cmd/cloverdoor/shutdown_test.go
+++ b/cmd/cloverdoor/shutdown_test.go
@@ -200,3 +200,23 @@
 		t.Errorf("%v", statuses)
 	}
 }
+
+// A connection that waits to be accepted while descriptors are missing is let in after SIGTERM too, as soon as there are some.
+func TestWaitingConnectionThoughAcceptFails(t *testing.T) {
+	t.Parallel()
+	w := prepare(t)
+	w.cache.serve("served", "-", "fine")
+	w.environment = []string{brokenCalls + "=accept:ENFILE:2-60"} // one every 20 ms: longer than the socket stays open for others
+	w.startBehind(w.cache, w.origin)
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/cloverdoor/system_test.go
+++ b/cmd/cloverdoor/system_test.go
@@ -154,6 +154,13 @@
 			}
 			return real.Socket(family, kind, protocol)
 		}
+	case "accept":
+		net.System.Accept = func(fd, flags int) (int, error) {
+			if fails() {
+				return -1, code
+			}
+			return real.Accept(fd, flags)
+		}
 	default:
 		panic(call)
 	}
--- a/internal/net/system_test.go
+++ b/internal/net/system_test.go
@@ -240,3 +240,73 @@
 		}
 	}
 }
+
+// halfEcho is an echo that hears of its peer's end.
+type halfEcho struct {
+	echo
+	closing bool
+}
+
+func (h *halfEcho) PeerClosing(Clock) { h.closing = true }
+func (h *halfEcho) PeerClosed() bool  { return false }
+
+// A connection that is closed to make room may have an event of its own in the same turn. It is not taken for one of the
+// connection that gets its descriptor.
+func TestEventOfAClosedDescriptor(t *testing.T) {
+	loop, err := NewLoop(SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var servers []*halfEcho
+	room := func() bool {
+		if len(servers) == 1 {
+			servers[0].conn.Close()
+		}
+		return true
+	}
+	ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), room, func(c *Conn) Handler {
+		servers = append(servers, &halfEcho{echo: echo{conn: c}})
+		return servers[len(servers)-1]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	name, _ := unix.Getsockname(ln.fd)
+	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port)).String()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	first := dial()
+	turns(t, loop, func() bool { return len(servers) == 1 })
+	second := dial() // the listener is ready first
+	defer second.Close()
+	first.Close()
+	for end := time.Now().Add(time.Second); !hungUp(servers[0].conn.fd) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	fd := servers[0].conn.fd
+	for filler := -1; filler < fd; { // the next descriptor that is free is the one of the old connection
+		if filler, err = unix.Open("/dev/null", unix.O_CLOEXEC, 0); err != nil {
+			t.Fatal(err)
+		}
+		defer unix.Close(filler)
+	}
+	turns(t, loop, func() bool { return len(servers) == 2 })
+	if servers[1].conn.fd != fd {
+		t.Fatalf("descriptor %d in place of %d", servers[1].conn.fd, fd)
+	}
+	if servers[1].closing || servers[1].ended != nil {
+		t.Errorf("the new connection was told of the end of the old one: closing %v, ended %v", servers[1].closing, servers[1].ended)
+	}
+}
+
+func hungUp(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0
+}
