Give events to the owner they were asked for, and close the socket only when its queue is empty

Cause: Loop looked events up by descriptor number alone; room closes a connection and accept4 returns its number within one turn. Front.watch closed the socket 0.7 s after SIGTERM though accept had failed and connections waited.

Change: each addition to epoll has a number that comes back with its events (epoll_data beside the descriptor). The socket is closed when nothing waits in its queue, or at the time from which requests are refused while stopping.

--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -78,6 +78,9 @@
 // Accept takes what waits now.
 func (ln *Listener) Accept() { ln.ready(0) }
 
+// Waiting says whether a connection waits to be accepted.
+func (ln *Listener) Waiting() bool { return !ln.closed && ln.waiting() }
+
 // Close stops accepting.
 func (ln *Listener) Close() {
 	if !ln.closed {
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -14,11 +14,19 @@
 // pollable is what an epoll event is delivered to.
 type pollable interface{ ready(events uint32) }
 
+// watched is what has a descriptor now. Descriptors are used again, also within one turn: an event counts for the owner that
+// it was asked for alone.
+type watched struct {
+	owner  pollable
+	number int32 // of the addition, which epoll keeps beside the descriptor
+}
+
 // Loop waits for readiness and for timers. A turn is: Wait, then what its callbacks queued is carried out,
 // then Flush.
 type Loop struct {
 	epoll     int
-	fds       map[int]pollable
+	fds       map[int]watched
+	added     int32 // descriptors so far
 	timers    timers
 	clock     TimeSource
 	now       Clock
@@ -49,7 +57,7 @@
 		return nil, fmt.Errorf("epoll_create: %w", err)
 	}
 	l := &Loop{
-		epoll: epoll, fds: map[int]pollable{}, clock: clock,
+		epoll: epoll, fds: map[int]watched{}, clock: clock,
 		read: make([]byte, readSize), events: make([]unix.EpollEvent, mostEvents),
 	}
 	l.tick()
@@ -100,9 +108,9 @@
 	l.tick()
 	l.polledAll = n >= 0 && n < len(l.events) // a signal, also one that had stopped the process, cuts the look short
 	for _, ev := range l.events[:max(n, 0)] {
-		// Looked up by number: one closed earlier in this turn is not there any more.
-		if p := l.fds[int(ev.Fd)]; p != nil {
-			p.ready(ev.Events)
+		// One closed earlier in this turn is not there any more, or has another number.
+		if w, open := l.fds[int(ev.Fd)]; open && w.number == ev.Pad {
+			w.owner.ready(ev.Events)
 		}
 	}
 	l.fire()
@@ -135,15 +143,17 @@
 }
 
 func (l *Loop) add(fd int, events uint32, p pollable) error {
-	if err := System.Control(l.epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
+	l.added++
+	event := &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: l.added}
+	if err := System.Control(l.epoll, unix.EPOLL_CTL_ADD, fd, event); err != nil {
 		return fmt.Errorf("epoll_ctl: %w", err)
 	}
-	l.fds[fd] = p
+	l.fds[fd] = watched{owner: p, number: l.added}
 	return nil
 }
 
 func (l *Loop) change(fd int, events uint32) error {
-	return System.Control(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+	return System.Control(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: l.fds[fd].number})
 }
 
 // remove closes fd, which takes it out of epoll too.
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -123,13 +123,7 @@
 // watch looks after connections now and then: those whose peer takes nothing, asks nothing or has vanished are
 // closed.
 func (f *Front) watch() {
-	// A shared socket is left at once: what still comes to it waits for the process that takes over.
-	if f.p.Phase() == Stopping && f.p.Leaving() {
-		if !f.shared { // on its own one, what waits to be accepted would be reset
-			f.listener.Accept()
-		}
-		f.listener.Close()
-	}
+	f.leave()
 	for c := range f.conns {
 		c.refuseParked(f.p.loop.Now())
 		bytes, since := c.conn.Backlog()
@@ -144,6 +138,21 @@
 	f.p.loop.At(f.p.loop.Now()+longestNap, f.watch)
 }
 
+// leave lets no further clients in once they have stopped coming. A shared socket is left at once: what still comes to it waits
+// for the process that takes over. On its own one, what waits to be accepted would be reset: that is taken first, also when
+// accepting fails for a while.
+func (f *Front) leave() {
+	if f.p.Phase() != Stopping || !f.p.Leaving() {
+		return
+	}
+	if !f.shared {
+		f.listener.Accept()
+	}
+	if f.shared || !f.listener.Waiting() || f.p.late() {
+		f.listener.Close()
+	}
+}
+
 // mayClose says whether a connection can be closed now, and counts where it can't.
 func (f *Front) mayClose(c policy.Connection) bool {
 	return f.p.denied.allows(actionClose, policy.MayClose(c))
@@ -166,8 +175,8 @@
 	}
 }
 
-// Idle says whether no client is connected any more.
-func (f *Front) Idle() bool { return len(f.conns) == 0 }
+// Idle says whether no client is connected any more, or waits to be.
+func (f *Front) Idle() bool { return len(f.conns) == 0 && (f.shared || !f.listener.Waiting()) }
 
 // unpark takes on what was parked, as far as clients have read meanwhile.
 func (f *Front) unpark() {
