--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -226,6 +226,7 @@
 			}
 		}
 		d.h.do(func() { q.Sent = d.h.Now() })
+		d.h.Note("client", "has asked proxy-%d %s %s slowly on connection %d", q.Proxy, q.Class, q.ID, c.number)
 	}()
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -227,7 +227,7 @@
 	time.AfterFunc(450*time.Millisecond, func() { p.close(life, &p.takes) })
 	select {
 	case <-exited:
-	case <-time.After(p.r.limits.LongestWait + killTime + life.stopped(0, p.r.h.Now()) + machineSlack):
+	case <-time.After(p.r.limits.LongestWait + killTime + machineSlack):
 		p.kill()
 	}
 }
