--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,5 @@
 SECONDS ?= 12
 
 soak:
-	SEEDS=$(SEEDS) SEED=$(SEED) FLEET=$(FLEET) SECONDS=$(SECONDS) \
+	SEEDS=$(SEEDS) SEED=$(SEED) FLEET=$(FLEET) SECONDS=$(SECONDS) KINDS="$(KINDS)" SHRINK=$(SHRINK) \
 		go test ./cmd/cloverdoor -run '^TestSoak$$' -count=1 -v -timeout 24h
--- a/cmd/cloverdoor/soak_test.go
+++ b/cmd/cloverdoor/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 		result, err := soak.Run(uint64(seed), soak.Options{
 			Program: os.Args[0], Environment: []string{"CLOVERDOOR_TEST_PROGRAM=1"}, ClockOffset: clockOffset, FailingCalls: randomFailures,
 			Host: loopback, Fleet: fleet, Length: time.Duration(seconds) * time.Second, Folder: t.TempDir(),
-			Keep: filepath.Join("..", "..", "found", "soak"),
+			Keep: filepath.Join("..", "..", "found", "soak"), Kinds: strings.Fields(os.Getenv("KINDS")), Shrink: os.Getenv("SHRINK") != "",
 		})
 		if err != nil {
 			t.Fatalf("seed %d could not be played: %v", seed, err)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,8 +36,10 @@
 	Host         func(int) string
 	Fleet        int
 	Length       time.Duration
-	Folder       string // for the configurations
-	Keep         string // folder for what is kept of violations; empty: nothing is
+	Folder       string   // for the configurations
+	Keep         string   // folder for what is kept of violations; empty: nothing is
+	Kinds        []string // of troubles; empty: all
+	Shrink       bool     // look for the least schedule that breaks the same rule
 }
 
 // Result is what one seed brought.
@@ -67,7 +69,16 @@
 
 // Run plays one seed and checks what was seen.
 func Run(seed uint64, o Options) (Result, error) {
-	return play(seed, o, Schedule(seed, o.Length, o.Fleet, cacheCount))
+	kinds := o.Kinds
+	if len(kinds) == 0 {
+		kinds = Kinds()
+	}
+	schedule := Schedule(seed, o.Length, o.Fleet, cacheCount, kinds)
+	result, err := play(seed, o, schedule)
+	if err != nil || len(result.Violations) == 0 || !o.Shrink {
+		return result, err
+	}
+	return result, shrink(seed, o, result)
 }
 
 func play(seed uint64, o Options, schedule []Trouble) (Result, error) {
@@ -97,6 +108,32 @@
 	return result, nil
 }
 
+// shrink leaves out one trouble after another as long as the first rule that was broken is still broken, and keeps the least
+// schedule. Runs differ in their timing: what does not show again may all the same be needed.
+func shrink(seed uint64, o Options, found Result) error {
+	least, rule := found.Schedule, found.Violations[0].Rule
+	o.Shrink = false
+	keep := o.Keep
+	o.Keep = ""
+	for i := 0; i < len(least); {
+		without := slices.Delete(slices.Clone(least), i, i+1)
+		result, err := play(seed, o, without)
+		if err != nil {
+			return err
+		}
+		if slices.ContainsFunc(result.Violations, func(v Violation) bool { return v.Rule == rule }) {
+			least = without
+		} else {
+			i++
+		}
+	}
+	if keep == "" {
+		return nil
+	}
+	path := filepath.Join(keep, fmt.Sprintf("seed-%d", seed), "least.txt")
+	return os.WriteFile(path, []byte(rule+"\n"+describe(least)), 0o644)
+}
+
 // must takes note of a failure of the soak itself.
 func (r *run) must(err error) {
 	if err != nil {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,10 +37,14 @@
 	troublesEvery = 550 * time.Millisecond // in the mean: two or three overlap
 )
 
-// Schedule draws the troubles of a run.
-func Schedule(seed uint64, length time.Duration, fleet, caches int) (list []Trouble) {
+// Kinds are all kinds of troubles.
+func Kinds() []string {
+	return slices.Concat(processTroubles, cacheTroubles, feedTroubles, otherTroubles)
+}
+
+// Schedule draws the troubles of a run from the given kinds.
+func Schedule(seed uint64, length time.Duration, fleet, caches int, kinds []string) (list []Trouble) {
 	rng := rand.New(rand.NewPCG(seed, 11))
-	kinds := slices.Concat(processTroubles, cacheTroubles, feedTroubles, otherTroubles)
 	for at := quietStart; at < length-quietEnd; at += time.Duration(rng.ExpFloat64() * float64(troublesEvery)) {
 		t := Trouble{Kind: kinds[rng.IntN(len(kinds))], At: at, Length: leastTrouble + time.Duration(rng.Int64N(int64(mostTrouble-leastTrouble)))}
 		t.Target = rng.IntN(fleet)
