--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -72,11 +73,14 @@
 	p.cmd = exec.Command(p.r.options.Program)
 	p.cmd.Env = append(append(os.Environ(), p.r.options.Environment...), "BALANCER_CONFIG="+p.config)
 	p.cmd.Env = append(p.cmd.Env, p.environment...)
-	log, err := p.cmd.StderrPipe()
+	log, write, err := logPipe(p.noReader)
 	if err != nil {
 		return err
 	}
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.Stderr = write
+	err = p.cmd.Start()
+	write.Close() //nolint:errcheck // the program has it
+	if err != nil {
 		return err
 	}
 	life, cmd, exited := p.life, p.cmd, p.exited
@@ -92,22 +96,41 @@
 	return nil
 }
 
+// logPipe is a pipe for a program's log. Where nobody reads, it is full from the start.
+func logPipe(full bool) (read, write *os.File, err error) {
+	var ends [2]int
+	if err := syscall.Pipe2(ends[:], syscall.O_CLOEXEC); err != nil {
+		return nil, nil, err
+	}
+	read, write = os.NewFile(uintptr(ends[0]), "log"), os.NewFile(uintptr(ends[1]), "log")
+	if full {
+		_, err = write.Write(bytes.Repeat([]byte("\n"), pipeSize))
+	}
+	return read, write, err
+}
+
+// pipeSize is what a pipe holds.
+const pipeSize = 64 << 10
+
 func (p *process) name() string { return fmt.Sprintf("proxy-%d", p.number) }
 
 // readLog takes the log into the timeline. While nobody is to read it, it waits.
-func (p *process) readLog(log io.Reader) {
+func (p *process) readLog(log io.ReadCloser) {
+	defer log.Close()
 	p.mu.Lock()
-	unread := p.noReader
+	unread, exited := p.noReader, p.exited
 	p.noReader = false
 	p.mu.Unlock()
 	if unread {
 		p.r.h.Note("trouble", "nobody reads the log of %s", p.name())
-		<-p.exited
+		<-exited
 	}
 	lines := bufio.NewScanner(log)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
-		p.r.h.Note(p.name(), "log: %s", lines.Text())
+		if lines.Text() != "" {
+			p.r.h.Note(p.name(), "log: %s", lines.Text())
+		}
 	}
 	io.Copy(io.Discard, log) //nolint:errcheck // its end is what counts
 }
