--- a/internal/soak/coordinator.go
+++ b/internal/soak/coordinator.go
@@ -12,8 +12,9 @@
 
 const (
 	tickEvery = time.Second
-	// slowByte is how long a slow coordinator takes over each byte of a line.
-	slowByte = 25 * time.Millisecond
+	// slowLine is how long a slow coordinator takes over one line of its list, steadily: what is behind it comes within the 7 s
+	// after which it counts as told.
+	slowLine = 6 * time.Second
 )
 
 // mode is how a coordinator behaves to one proxy.
@@ -23,7 +24,7 @@
 	sound  mode = iota
 	down        // it refuses connections, and its streams have ended
 	silent      // its streams stay open and bring nothing
-	slow        // they bring a byte at a time
+	slow        // they bring one line of the list a byte at a time
 )
 
 // coordinator stands in for the coordinator: each proxy has an address of its own for it, so that what was told to whom is known.
@@ -41,6 +42,7 @@
 	proxy    int
 	addr     string
 	mode     mode
+	slowed   int // the event that is brought slowly, to every follower; 0: none yet
 	listener net.Listener
 	streams  map[net.Conn]bool
 }
@@ -81,7 +83,7 @@
 	c.mu.Lock()
 	p := c.posts[proxy]
 	before := p.mode
-	p.mode = m
+	p.mode, p.slowed = m, 0
 	if m == down && before != down {
 		p.listener.Close() //nolint:errcheck // it listens no more in any case
 		for conn := range p.streams {
@@ -172,7 +174,7 @@
 			ticked = time.Now()
 			text = fmt.Sprint(last)
 		}
-		if !p.bring(conn, text+"\n") {
+		if !p.bring(conn, text+"\n", p.pace(event, len(text))) {
 			return
 		}
 		if event != nil {
@@ -187,13 +189,24 @@
 	}
 }
 
-// bring writes a line, as fast as the coordinator is just then.
-func (p *post) bring(conn net.Conn, line string) bool {
+// pace is how long each byte of a line takes; 0: the line comes at once.
+func (p *post) pace(e *Told, size int) time.Duration {
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	if e == nil || p.mode != slow || len(e.Leaving)+len(e.Back) == 0 || p.slowed != 0 && p.slowed != e.Index {
+		return 0
+	}
+	p.slowed = e.Index
+	return slowLine / time.Duration(size)
+}
+
+// bring writes a line.
+func (p *post) bring(conn net.Conn, line string, pace time.Duration) bool {
 	for len(line) > 0 {
 		size := len(line)
-		if p.c.modeOf(p) == slow {
+		if pace > 0 {
 			size = 1
-			time.Sleep(slowByte)
+			time.Sleep(pace)
 		}
 		if _, err := conn.Write([]byte(line[:size])); err != nil {
 			return false
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -176,7 +176,11 @@
 				r.coordinator.set(i, m)
 			}
 		}
-		time.Sleep(2 * t.Length)
+		length := 2 * t.Length
+		if m == slow {
+			length += slowLine
+		}
+		time.Sleep(length)
 		for i := range r.fleet {
 			if i%2 == t.Target%2 {
 				r.coordinator.set(i, sound)
