Failing tests: unknown kinds of events and gaps that stay hide all later events

Two more of it were found by reading: an event with neither endpoints nor evict counts as a bare number, which says that events are missing; a gap is followed anew each time.

--- a/cmd/cloverdoor/coordinator_test.go
+++ b/cmd/cloverdoor/coordinator_test.go
@@ -338,3 +338,35 @@
 		t.Errorf("%d unreadable, %d followed", w.figure("svc_registry_unreadable"), len(w.follows))
 	}
 }
+
+// An event of a kind that this version does not know is passed over: it is not asked for again without end.
+func TestUnknownKindOfEventHidesNothing(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	w.tell(`{"index":2,"quota":{"server":"c1","share":0.5}}`)
+	w.tell(list(3, false, member("c2", "std", "edge", "SERVING", w.cache)))
+	w.eventually("the next event is taken", func() bool { return w.figure("svc_registry_entries") == 3 })
+	if len(w.follows) != 0 || w.figure("svc_registry_unreadable") != 1 {
+		t.Errorf("%d followed, %d unreadable", len(w.follows), w.figure("svc_registry_unreadable"))
+	}
+}
+
+// Events that the coordinator leaves out each time it is asked are gone; those behind them are taken.
+func TestMissingEventHidesNothing(t *testing.T) {
+	w := newWorld(t)
+	receive(t, w.follows, "follow")
+	behind := list(4, false, member("c2", "std", "edge", "SERVING", w.cache))
+	w.tell(behind)
+	if got := receive(t, w.follows, "follow anew"); got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+	w.tell(behind)
+	w.eventually("the event behind the gap is taken", func() bool { return w.figure("svc_registry_entries") == 3 })
+	w.tell("6") // more are said to be missing
+	if got := receive(t, w.follows, "follow anew"); got != "follow 4" {
+		t.Errorf("%q", got)
+	}
+	w.tell("6")
+	w.tell(list(5, false, member("c3", "std", "edge", "SERVING", w.cache)))
+	w.eventually("a late one is taken all the same", func() bool { return w.figure("svc_registry_entries") == 4 })
+}
