Take events behind unknown kinds and behind gaps that stay

Cause: feed.Event.Tick looked at endpoints and evict alone; follower.take failed the stream for every gap, however often it had asked for the same.

Change: an object with any other part is an event, counted as unreadable. A gap that shows again at the same place is passed over, with a line in the log; a number that says so again is let be, as the missing events may still come.

The soak has events of unknown kinds among its troubles.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -87,28 +87,38 @@
 // UnmarshalJSON reads an event as far as it can be read: one part that this version does not know hides nothing of the
 // rest. Only a text without a number of its own is an error.
 func (e *Event) UnmarshalJSON(text []byte) error {
-	var raw struct {
-		Index     int64           `json:"index"`
-		Endpoints json.RawMessage `json:"endpoints"`
-		Evict     json.RawMessage `json:"evict"`
+	var number struct {
+		Index int64 `json:"index"`
 	}
-	if err := json.Unmarshal(text, &raw); err != nil {
+	var parts map[string]json.RawMessage
+	if err := errors.Join(json.Unmarshal(text, &number), json.Unmarshal(text, &parts)); err != nil {
 		return err
 	}
-	if raw.Index <= 0 {
+	if number.Index <= 0 {
 		return fmt.Errorf("%w: no index", ErrLine)
 	}
-	*e = Event{Index: raw.Index}
-	if isTold(raw.Endpoints) {
-		e.readEndpoints(raw.Endpoints)
-	}
-	if isTold(raw.Evict) {
-		e.readEvict(raw.Evict)
+	*e = Event{Index: number.Index}
+	for name, part := range parts {
+		e.read(name, part)
 	}
 	return nil
 }
 
-func isTold(part json.RawMessage) bool { return len(part) > 0 && string(part) != "null" }
+// read takes one part of an event. A part that this version does not know makes it an event all the same.
+func (e *Event) read(name string, part json.RawMessage) {
+	if string(part) == "null" {
+		return
+	}
+	switch name {
+	case "index":
+	case "endpoints":
+		e.readEndpoints(part)
+	case "evict":
+		e.readEvict(part)
+	default:
+		e.Unreadable++
+	}
+}
 
 func (e *Event) readEndpoints(text json.RawMessage) {
 	var raw struct {
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -45,8 +45,13 @@
 	again      *net.Timer
 	pause      time.Duration
 	unreadable unreadableLine
+	gap        gap
 }
 
+// gap is the last place at which events were missing. When they are missing there again, those behind it are taken: to ask once
+// more would bring nothing else.
+type gap struct{ after, index int64 }
+
 // unreadableLine is the last line that was neither an event nor a number. When it comes again at the same place, it is
 // passed over: to ask once more would bring it for a third time.
 type unreadableLine struct {
@@ -222,11 +227,21 @@
 // take passes on the next event in order. Repeats are dropped; a gap means that the stream must be followed
 // anew from the last event taken.
 func (f *follower) take(ev feed.Event) error {
-	switch {
+	most := f.last + f.unreadable.over
+	if !ev.Tick() {
+		most++
+	}
+	switch place := (gap{f.last, ev.Index}); {
 	case ev.Index <= f.last:
 		return nil
-	case ev.Tick() && ev.Index > f.last+f.unreadable.over, ev.Index > f.last+f.unreadable.over+1:
+	case ev.Index > most && place != f.gap:
+		f.gap = place
 		return errGap
+	case ev.Index > most && ev.Tick(): // the missing ones may still come
+		return nil
+	case ev.Index > most:
+		f.p.unreadable++
+		f.p.log.Error("events are missing for good", "after", f.last, "before", ev.Index)
 	}
 	f.last, f.unreadable.over = ev.Index, 0
 	f.p.applyEvent(ev)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -25,7 +25,7 @@
 var (
 	processTroubles = []string{"freeze", "term", "kill", "reload", "broken-reload", "drain-order", "deaf-log", "wrong-clock", "failing-calls"}
 	cacheTroubles   = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace"}
-	feedTroubles    = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge"}
+	feedTroubles    = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge", "unknown-event"}
 	otherTroubles   = []string{"purge-group", "purge-storm", "origin-hang", "origin-reset"}
 )
 
@@ -169,6 +169,8 @@
 		r.coordinator.add(&Told{Group: -1}, "{event %d that nobody can read")
 	case "unreadable-purge":
 		r.coordinator.add(&Told{Group: -1}, `{"index":%d,"evict":{"everything":true}}`)
+	case "unknown-event":
+		r.coordinator.add(&Told{Group: -1}, `{"index":%d,"quota":{"share":0.5}}`)
 	default:
 		m := map[string]mode{"down": down, "silent": silent, "slow-lines": slow}[t.Kind]
 		for i := range r.fleet {
