--- a/cmd/cloverdoor/config_test.go
+++ b/cmd/cloverdoor/config_test.go
@@ -212,3 +212,20 @@
 		}
 	}
 }
+
+// A lack of descriptors or memory that passes does not keep the program from starting.
+func TestStartThoughCallsFail(t *testing.T) {
+	for _, failure := range []string{"socket:ENFILE:1-3", "socket:ENOBUFS:2-5", "socket:ENOMEM:1-1"} {
+		w := prepare(t)
+		w.environment = []string{brokenCalls + "=" + failure}
+		w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache)))
+		select {
+		case err := <-w.exit:
+			t.Errorf("%s: ended with %v", failure, err)
+			continue
+		case <-w.follows:
+		}
+		w.awaitAlive("200")
+		w.cmd.Process.Kill() //nolint:errcheck // the next one is another program
+	}
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -24,7 +24,7 @@
 // The kinds of troubles, by what they hit.
 var (
 	processTroubles = []string{"freeze", "term", "kill", "reload", "broken-reload", "drain-order", "deaf-log", "wrong-clock", "failing-calls"}
-	cacheTroubles   = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace"}
+	cacheTroubles   = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace", "retire"}
 	feedTroubles    = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge", "unknown-event"}
 	otherTroubles   = []string{"purge-group", "purge-storm", "origin-hang", "origin-reset"}
 )
@@ -34,6 +34,7 @@
 	quietEnd      = 3 * time.Second
 	leastTrouble  = 300 * time.Millisecond
 	mostTrouble   = 2500 * time.Millisecond
+	awayFor       = 9 * time.Second
 	troublesEvery = 550 * time.Millisecond // in the mean: two or three overlap
 )
 
@@ -141,11 +142,14 @@
 		r.tellState(s, "DRAINING")
 		time.Sleep(t.Length)
 	}
+	if t.Kind == "retire" { // for longer than news may take
+		time.Sleep(awayFor)
+	}
 	if t.Kind == "leave" || t.Kind == "replace" {
 		r.tellState(s, "DELETED")
 		time.Sleep(t.Length / 2)
 	}
-	if t.Kind != "leave" && t.Kind != "return" {
+	if t.Kind == "crash" || t.Kind == "replace" {
 		s.crash()
 		time.Sleep(t.Length / 2)
 		r.must(s.listen())
