Start though descriptors or memory are missing for a moment

Cause: any error of socket, bind, listen or epoll at the start ended the program.

Change: what this machine lacks (EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC, EAGAIN) is tried again every 20 ms for 5 s; any other error, such as a wrong address, still ends it with one line at once.

--- a/cmd/cloverdoor/main.go
+++ b/cmd/cloverdoor/main.go
@@ -23,6 +23,11 @@
 	"cloverdoor/internal/settings"
 )
 
+const (
+	startPatience = 5 * time.Second // for what this machine lacks at the start
+	startPause    = 20 * time.Millisecond
+)
+
 // logPatience is how long the end of the program waits for its last lines to be written.
 const logPatience = 200 * time.Millisecond
 
@@ -86,8 +91,8 @@
 func run(cfg *config, clock net.TimeSource, s signals, logger *slog.Logger, out *logging.Writer) error {
 	// A garbage collector that knows the limit works harder near it; the platform would kill the process.
 	debug.SetMemoryLimit(int64(cfg.proxy.Memory) * 6 / 10)
-	loop, err := net.NewLoop(clock)
-	if err != nil {
+	var loop *net.Loop
+	if err := patiently(func() (err error) { loop, err = net.NewLoop(clock); return err }); err != nil {
 		return err
 	}
 	cfg.proxy.LogDropped, cfg.proxy.Violated = out.Dropped, violated
@@ -142,15 +147,25 @@
 // openAddresses listens for clients and operators.
 func openAddresses(p *proxy.Proxy, cfg *config) (err error) {
 	most := proxy.ClientSockets(cfg.Limits.Sockets)
-	if cfg.inherited != 0 {
-		err = p.ListenOn(cfg.inherited, most)
-	} else {
-		err = p.Listen(cfg.listen, most)
-	}
+	err = patiently(func() error {
+		if cfg.inherited != 0 {
+			return p.ListenOn(cfg.inherited, most)
+		}
+		return p.Listen(cfg.listen, most)
+	})
 	if err != nil || cfg.Admin == "" {
 		return err
 	}
-	return p.ListenAdmin(cfg.admin)
+	return patiently(func() error { return p.ListenAdmin(cfg.admin) })
+}
+
+// patiently tries again for a while what fails as this machine lacks something: a program that refuses to start serves nobody.
+func patiently(start func() error) (err error) {
+	for end := time.Now().Add(startPatience); ; time.Sleep(startPause) {
+		if err = start(); !errors.Is(err, net.ErrLocal) || time.Now().After(end) {
+			return err
+		}
+	}
 }
 
 // keeps names what differs in a configuration read later and holds until the next start all the same. Sockets and
--- a/internal/net/dial.go
+++ b/internal/net/dial.go
@@ -48,7 +48,7 @@
 	return c, nil
 }
 
-// connectError says whether it was this machine that failed.
+// connectError is how a connect failed.
 func connectError(addr netip.AddrPort, err error) error {
 	if isLocal(err) {
 		err = fmt.Errorf("%w: %w", ErrLocal, err)
--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -35,7 +35,7 @@
 func (l *Loop) Listen(addr netip.AddrPort, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
 	fd, err := socket(addr)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+		return nil, fmt.Errorf("listen on %s: %w", addr, startError(err))
 	}
 	err = errors.Join(
 		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1),
@@ -45,9 +45,13 @@
 	}
 	if err != nil {
 		unix.Close(fd) //nolint:errcheck // the first error is what counts
-		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+		return nil, fmt.Errorf("listen on %s: %w", addr, startError(err))
 	}
-	return l.listener(fd, room, accept)
+	ln, err := l.listener(fd, room, accept)
+	if err != nil {
+		unix.Close(fd) //nolint:errcheck // the first error is what counts
+	}
+	return ln, err
 }
 
 // ListenOn accepts connections on a listening socket that the process was started with, and may share with others.
@@ -60,7 +64,7 @@
 		err = unix.SetNonblock(fd, true)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("listen on descriptor %d: %w", fd, err)
+		return nil, fmt.Errorf("listen on descriptor %d: %w", fd, startError(err))
 	}
 	unix.CloseOnExec(fd)
 	return l.listener(fd, room, accept)
@@ -69,8 +73,7 @@
 func (l *Loop) listener(fd int, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
 	ln := &Listener{loop: l, fd: fd, room: room, accept: accept}
 	if err := l.add(fd, unix.EPOLLIN, ln); err != nil {
-		unix.Close(fd) //nolint:errcheck // the first error is what counts
-		return nil, err
+		return nil, startError(err)
 	}
 	return ln, nil
 }
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -54,7 +54,7 @@
 func NewLoop(clock TimeSource) (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
-		return nil, fmt.Errorf("epoll_create: %w", err)
+		return nil, startError(fmt.Errorf("epoll_create: %w", err))
 	}
 	l := &Loop{
 		epoll: epoll, fds: map[int]watched{}, clock: clock,
--- a/internal/net/system.go
+++ b/internal/net/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"golang.org/x/sys/unix"
 )
@@ -52,10 +53,22 @@
 // peer.
 var ErrLocal = errors.New("local resources are used up")
 
+// startError marks an error of the start that may pass.
+func startError(err error) error {
+	if isExhausted(err) {
+		return fmt.Errorf("%w: %w", ErrLocal, err)
+	}
+	return err
+}
+
 // isLocal reports errors that say nothing of the peer.
 func isLocal(err error) bool {
-	return isAny(err, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EADDRNOTAVAIL, unix.EAGAIN,
-		unix.EPERM, unix.EACCES)
+	return isExhausted(err) || isAny(err, unix.EADDRNOTAVAIL, unix.EPERM, unix.EACCES)
+}
+
+// isExhausted reports a lack of descriptors or memory, which may pass.
+func isExhausted(err error) bool {
+	return isAny(err, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EAGAIN)
 }
 
 // retry reports errors after which the same call on the same connection may succeed: nothing has been lost.
