--- a/policy/coldbudget_test.go
+++ b/policy/coldbudget_test.go
@@ -188,3 +188,29 @@
 		}
 	}
 }
+
+// Two processes that stand for one router while one takes over from the other send together what one may.
+func TestTwoProcessesShareAColdBudget(t *testing.T) {
+	sent := map[int]int{}
+	for _, processes := range []int{1, 2} {
+		set := world()
+		set.Processes = processes
+		for i := range processes {
+			g := &rig{t: t, r: New(set, uint64(i)), n: time.Hour}
+			g.do(everybody())
+			home := g.serve(1, "x", NoteFilled).Target
+			g.n += time.Minute
+			g.do(MemberList{Members: []Member{{ID: home, State: Ready, Zone: 1, Weight: 5, Started: g.n}}})
+			for id := int64(2); id < 60; id++ {
+				if f := fetchOf(g.request(id, "x", 0)); f != nil && f.Target == home {
+					sent[processes]++
+				}
+				g.do(ClientGone{ID: id})
+				g.do(Outcome{ID: id, Result: ResultCancelled, Finished: true})
+			}
+		}
+	}
+	if sent[2] == 0 || sent[2] > sent[1] {
+		t.Errorf("one process sends %d, two send %d", sent[1], sent[2])
+	}
+}
