--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -493,6 +493,34 @@
 	}
 }
 
+// The same behind more input than one turn reads of a connection.
+func TestRequestBehindMuchInputTooLateIsRefused(t *testing.T) {
+	w := newWorld(t)
+	w.cache.serve("served", "-", "fine")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	receive(t, c.answers, "answer")
+	thaw := w.freeze()
+	written := make(chan error, 1)
+	go func() {
+		out := &batch{Conn: c.Conn}
+		for range 40 { // 2.4 MB of a request that is not open: passed over
+			(&client{Conn: out}).record(5, 9, strings.Repeat("x", 60_000))
+		}
+		(&client{Conn: out}).ask(2, "artes", 500, 2, "")
+		_, err := c.Conn.Write(out.out)
+		written <- err
+	}()
+	if err := receive(t, written, "end of the write"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(600 * time.Millisecond) // not a race: it is by this that the request's time is over
+	thaw()
+	if a := receive(t, c.answers, "refusal"); a.id != 2 || a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+}
+
 // The same on connections that have yet to be accepted, or are accepted while the process is held up: the time spent in their
 // queue counts.
 func TestRequestInTheQueueTooLateIsRefused(t *testing.T) {
