Count how long a request has waited behind much input

Cause: Conn.Waited counted from the end of the turn that had left something unread, so the time for which the process had been held up before that was forgotten, and what still lay in the peer's system was not counted at all.

Change: what comes behind 64 KB read in one turn may have waited for as long as that; the bound is carried on while as much comes.

--- a/internal/net/conn.go
+++ b/internal/net/conn.go
@@ -42,6 +42,7 @@
 const (
 	mostQueued = 16 << 20 // queued output at which the connection is given up
 	mostJoined = 16 << 10 // bytes up to which small outputs are kept as one: each apart would cost more than it holds
+	muchInput  = 64 << 10 // bytes read in one turn behind which more may have waited for as long
 	mostReads  = 16       // of one connection in one turn, while each fills the buffer
 
 	retryPause = 20 * time.Millisecond  // before a call that failed for lack of memory is tried again
@@ -71,7 +72,7 @@
 	since      Clock         // when it was begun or accepted
 	queuedLong bool          // it may have waited to be accepted for long
 	inQueue    time.Duration // for how long the process was held up before
-	cut        Clock         // when the last turn left something unread; 0: it did not
+	behind     Clock         // since when what comes next may have waited, as there was much before it; 0: it is new
 	waited     time.Duration // see Waited
 	took       time.Duration // to come up
 	heard      Clock
@@ -246,8 +247,8 @@
 	case c.queuedLong:
 		c.queuedLong = false
 		c.waited = c.sinceMade()
-	case c.cut != 0:
-		c.waited = c.loop.now - c.cut
+	case c.behind != 0:
+		c.waited = c.loop.now - c.behind
 	default:
 		c.waited = 0
 	}
@@ -267,7 +268,8 @@
 // further on what it asks for first.
 func (c *Conn) receive() {
 	c.measureWait()
-	c.cut = 0
+	total := 0
+	defer func() { c.markBehind(total) }()
 	for range mostReads {
 		n, err := System.Read(c.fd, c.loop.read)
 		switch {
@@ -280,6 +282,7 @@
 			c.end()
 			return
 		}
+		total += n
 		if !c.closing { // else it crossed the close
 			c.take(c.loop.read[:n])
 		}
@@ -287,7 +290,14 @@
 			return
 		}
 	}
-	c.cut = c.loop.now
+}
+
+// markBehind notes that what comes next may have been sent together with what has been read now: there was much of it, and the
+// rest may have waited here or in the peer's system.
+func (c *Conn) markBehind(total int) {
+	if c.behind = 0; total >= muchInput {
+		c.behind = c.loop.now - max(c.waited, c.loop.Stalled(c.loop.napped))
+	}
 }
 
 // end takes the peer's end of a conversation.
