--- a/internal/net/system_test.go
+++ b/internal/net/system_test.go
@@ -34,6 +34,43 @@
 
 func (e *echo) Closed(err error) { e.ended = err }
 
+// port is a listener with a loop of its own.
+type port struct {
+	*Listener
+	loop *Loop
+	addr string
+}
+
+// newPort listens on loopback, as long as room is found for one more.
+func newPort(t *testing.T, room func() bool, accept func(*Conn) Handler) *port {
+	t.Helper()
+	loop, err := NewLoop(SystemClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), room, accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(ln.Close)
+	name, err := unix.Getsockname(ln.fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port))
+	return &port{ln, loop, at.String()}
+}
+
+func (p *port) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
 // turns runs a loop until done, for a second at most, and returns how many turns that took.
 func turns(t *testing.T, loop *Loop, done func() bool) (count int) {
 	t.Helper()
@@ -108,25 +145,12 @@
 	for call, fail := range failures {
 		for _, code := range codes[call] {
 			t.Run(call+" "+code.Error(), func(t *testing.T) {
-				loop, err := NewLoop(SystemClock())
-				if err != nil {
-					t.Fatal(err)
-				}
 				var server *echo
-				ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func() bool { return true }, func(c *Conn) Handler {
+				p := newPort(t, func() bool { return true }, func(c *Conn) Handler {
 					server = &echo{conn: c}
 					return server
 				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer ln.Close()
-				name, _ := unix.Getsockname(ln.fd)
-				client, err := net.Dial("tcp", netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port)).String())
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer client.Close()
+				client := p.dial(t)
 				client.Write([]byte("hello")) //nolint:errcheck // shows in the echo
 				calls := 0
 				substitute(t, func(s *SystemCalls) { fail(s, &calls, code) })
@@ -136,7 +160,7 @@
 					_, err := client.Read(make([]byte, 5))
 					answered <- err
 				}()
-				took := turns(t, loop, func() bool { return len(answered) > 0 })
+				took := turns(t, p.loop, func() bool { return len(answered) > 0 })
 				if err := <-answered; err != nil {
 					t.Errorf("%v; the connection ended with %v", err, server)
 				}
@@ -154,50 +178,37 @@
 
 // A listener that rested, also because accepting fails again and again, comes back though epoll refuses that at first.
 func TestListenerComesBack(t *testing.T) {
-	loop, err := NewLoop(SystemClock())
-	if err != nil {
-		t.Fatal(err)
-	}
 	var server *echo
 	room := false
-	ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func() bool { return room }, func(c *Conn) Handler {
+	p := newPort(t, func() bool { return room }, func(c *Conn) Handler {
 		server = &echo{conn: c}
 		return server
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	name, _ := unix.Getsockname(ln.fd)
-	client, err := net.Dial("tcp", netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port)).String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	p.dial(t)
 	refused := 0
 	substitute(t, func(s *SystemCalls) {
 		real := s.Control
 		s.Control = func(epoll, operation, fd int, event *unix.EpollEvent) error {
-			if fd == ln.fd && event.Events != 0 && refused < 3 {
+			if fd == p.fd && event.Events != 0 && refused < 3 {
 				refused++
 				return unix.ENOMEM
 			}
 			return real(epoll, operation, fd, event)
 		}
 	})
-	turns(t, loop, func() bool { return refused > 0 })
+	turns(t, p.loop, func() bool { return refused > 0 })
 	room = true
 	calls := 0
 	accept := System.Accept
 	System.Accept = func(int, int) (int, error) { calls++; return -1, unix.ENOBUFS }
 	for end := time.Now().Add(100 * time.Millisecond); time.Now().Before(end); {
-		turns(t, loop, func() bool { return !time.Now().Before(end) })
+		turns(t, p.loop, func() bool { return !time.Now().Before(end) })
 	}
 	if calls > 10 {
 		t.Errorf("%d calls in 100 ms", calls)
 	}
 	System.Accept = accept
-	turns(t, loop, func() bool { return server != nil })
+	turns(t, p.loop, func() bool { return server != nil })
 	if server == nil {
 		t.Error("nobody is let in any more")
 	}
@@ -253,10 +264,6 @@
 // A connection that is closed to make room may have an event of its own in the same turn. It is not taken for one of the
 // connection that gets its descriptor.
 func TestEventOfAClosedDescriptor(t *testing.T) {
-	loop, err := NewLoop(SystemClock())
-	if err != nil {
-		t.Fatal(err)
-	}
 	var servers []*halfEcho
 	room := func() bool {
 		if len(servers) == 1 {
@@ -264,39 +271,26 @@
 		}
 		return true
 	}
-	ln, err := loop.Listen(netip.MustParseAddrPort("127.0.0.1:0"), room, func(c *Conn) Handler {
+	p := newPort(t, room, func(c *Conn) Handler {
 		servers = append(servers, &halfEcho{echo: echo{conn: c}})
 		return servers[len(servers)-1]
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	name, _ := unix.Getsockname(ln.fd)
-	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*unix.SockaddrInet4).Port)).String()
-	dial := func() net.Conn {
-		conn, err := net.Dial("tcp", addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return conn
-	}
-	first := dial()
-	turns(t, loop, func() bool { return len(servers) == 1 })
-	second := dial() // the listener is ready first
-	defer second.Close()
+	first := p.dial(t)
+	turns(t, p.loop, func() bool { return len(servers) == 1 })
+	p.dial(t) // the listener is ready first
 	first.Close()
 	for end := time.Now().Add(time.Second); !hungUp(servers[0].conn.fd) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	fd := servers[0].conn.fd
 	for filler := -1; filler < fd; { // the next descriptor that is free is the one of the old connection
+		var err error
 		if filler, err = unix.Open("/dev/null", unix.O_CLOEXEC, 0); err != nil {
 			t.Fatal(err)
 		}
 		defer unix.Close(filler)
 	}
-	turns(t, loop, func() bool { return len(servers) == 2 })
+	turns(t, p.loop, func() bool { return len(servers) == 2 })
 	if servers[1].conn.fd != fd {
 		t.Fatalf("descriptor %d in place of %d", servers[1].conn.fd, fd)
 	}
--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -28,10 +28,7 @@
 	maxDoublings = 3
 )
 
-var (
-	errGap    = errors.New("events are missing")
-	errSilent = errors.New("coordinator is silent")
-)
+var errGap = errors.New("events are missing")
 
 // follower keeps up with the coordinator's events. Normally it has one stream. When that brings no whole line for a while,
 // a second one is opened beside it; what has come of a line on the first is not thrown away.
