Log phases, servers, further attempts, and why requests and connections end

Change: a line for each phase, change of a server, further attempt (with the result it follows), request not taken or not served, connection closed to make room or lost under calls.

--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -141,7 +141,6 @@
 // startDrain empties the proxy of clients; it goes on running, and may be taken back.
 func (p *Proxy) startDrain() http1.Response {
 	if p.phase == Serving {
-		p.log.Info("draining on an operator's order", "open", p.open)
 		p.drain()
 	}
 	return p.inPhase(Draining)
@@ -149,8 +148,7 @@
 
 func (p *Proxy) stopDrain() http1.Response {
 	if p.phase == Draining {
-		p.log.Info("drain ended on an operator's order")
-		p.phase = Serving
+		p.enter(Serving)
 	}
 	return p.inPhase(Serving)
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -37,11 +37,16 @@
 	began   net.Clock // when its first byte was written, as the audit knows
 	oldest  int64     // Unix millisecond before which no copy that answers it may have been made; 0: not bound
 	ended   bool
+	result  policy.Result // how it ended
 }
 
 // attempt carries out a Fetch: it queues the call on a connection to the target.
 func (p *Proxy) attempt(q *request, f policy.Fetch) {
 	a := &attempt{p: p, req: q, number: len(q.attempts), target: f.Target, created: p.loop.Now()}
+	if a.number > 0 {
+		last := q.attempts[a.number-1]
+		p.log.Info("further attempt", "request", q.ID, "attempt", a.number, "server", f.Target, "after", last.target, "result", last.result)
+	}
 	q.attempts = append(q.attempts, a)
 	q.pending++
 	if q.finished {
@@ -221,6 +226,7 @@
 			result = policy.ResultConnectFailed
 		}
 	}
+	a.result = result
 	p.audit.ended(a, result)
 	p.notify(policy.Outcome{ID: a.req.number, Attempt: a.number, Result: result, Note: policy.Note(ans.Note),
 		Took: p.loop.Now() - a.created, SourceWait: ans.SourceWait, Sending: p.sending(ans), Finished: a.req.finished})
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -108,6 +108,7 @@
 		}
 		unread[spare], spare = true, nil
 	}
+	f.p.log.Info("client's connection closed to make room", "connection", spare.number, "idle", spare.idle())
 	spare.conn.Close()
 	spare.Closed(nil)
 	return true
@@ -129,6 +130,7 @@
 		bytes, since := c.conn.Backlog()
 		switch {
 		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
+			f.p.log.Info("client's connection closed, it takes nothing", "connection", c.number, "bytes", bytes)
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
 		case !c.conn.Ended() && c.overdue() && f.mayClose(policy.Connection{Open: len(c.open), Unread: c.conn.Unread}):
--- a/internal/proxy/membership.go
+++ b/internal/proxy/membership.go
@@ -62,6 +62,9 @@
 			p.log.Warn("server counts as gone", "server", s.ID, "error", err)
 			m.State = policy.Gone
 		}
+		if !list.Full { // a whole list may have thousands
+			p.log.Info("server changed", "server", s.ID, "state", s.State, "started_ms", s.Started)
+		}
 		named[s.ID] = m.State != policy.Gone
 		members.Members = append(members.Members, m)
 		p.place(m, s.Started, addr)
@@ -74,7 +77,7 @@
 	}
 	p.notify(members)
 	if p.phase == Starting {
-		p.phase = Serving
+		p.enter(Serving)
 	}
 }
 
--- a/internal/proxy/phase.go
+++ b/internal/proxy/phase.go
@@ -46,26 +46,32 @@
 // Phase tells where the program stands.
 func (p *Proxy) Phase() Phase { return p.phase }
 
+// enter changes the phase.
+func (p *Proxy) enter(next Phase) {
+	p.log.Info("phase", "from", p.phase, "to", next, "open", p.open)
+	p.phase = next
+}
+
 // advance moves to the phase that is due. Stopping ends when clients have stopped coming and all they asked
 // for has been answered.
 func (p *Proxy) advance(stop <-chan os.Signal) {
 	select {
 	case <-stop:
 		if p.phase < Stopping {
-			p.log.Info("stopping", "open", p.open)
 			p.stop()
 		}
 	default:
 	}
 	if p.phase == Stopping && p.Leaving() && !p.hasOpenWork() {
-		p.phase = Stopped
+		p.enter(Stopped)
 	}
 }
 
 // stop begins the end. What is taken from now on is answered before the process may be killed, whatever its
 // deadline: what a kill finds unanswered is lost.
 func (p *Proxy) stop() {
-	p.phase, p.leaveAt = Stopping, p.loop.Now()+stopTime
+	p.enter(Stopping)
+	p.leaveAt = p.loop.Now() + stopTime
 	if p.handsOver() {
 		p.leaveAt = p.loop.Now()
 	}
@@ -93,7 +99,8 @@
 
 // drain begins to send clients away.
 func (p *Proxy) drain() {
-	p.phase, p.leaveAt, p.lateAt = Draining, p.loop.Now()+drainTime, p.loop.Now()+drainLate
+	p.enter(Draining)
+	p.leaveAt, p.lateAt = p.loop.Now()+drainTime, p.loop.Now()+drainLate
 }
 
 // Leaving says that clients should go: no more of them are due.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -253,6 +253,7 @@
 		if verdict.Rule == policy.RuleLimits { // a refusal is all that memory allows; clients come again
 			answer = Answer{Status: Overloaded}
 		}
+		p.log.Info("request not taken", "request", in.ID, "rule", verdict.Rule, "reason", verdict.Reason)
 		p.turnAway(in, to, answer)
 		return 0
 	}
@@ -327,6 +328,9 @@
 	if q == nil || q.finished {
 		return
 	}
+	if a.Status != Served && a.Status != Unchanged {
+		p.log.Info("request not served", "request", q.ID, "class", q.Name, "answer", a.Status.counted(), "attempts", len(q.attempts))
+	}
 	p.finish(q)
 	p.audit.answered(q, a.Status)
 	p.tallies.count(q.Name, a.Status.counted())
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -73,6 +73,9 @@
 // Closed ends all calls that were open here. What was not written never ran; the rest may have.
 func (u *upstream) Closed(err error) {
 	u.slot.Drop()
+	if len(u.calls) > 0 {
+		u.p.log.Info("connection to a server lost under calls", "calls", len(u.calls), "error", err)
+	}
 	result := policy.ResultReset
 	switch {
 	case errors.Is(err, net.ErrConnect):
--- a/policy/types.go
+++ b/policy/types.go
@@ -147,6 +147,18 @@
 	ResultMiss // lacks it
 )
 
+var resultNames = [...]string{
+	"error", "ok", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss",
+}
+
+// String is the result's name in the log.
+func (r Result) String() string {
+	if r < 0 || int(r) >= len(resultNames) {
+		return "unknown"
+	}
+	return resultNames[r]
+}
+
 // Note tells how an answer was had, or why a fill failed.
 type Note int
 
