Soak: hand one process over to another on a socket that is held for both

Need: hand-over is one of the paths of the request, and no trouble of the soak took it.

Change: every second proxy's socket is held by the platform; hand-over starts the next program beside the one under way and ends that when the next is ready.

--- a/cmd/cloverdoor/soak_test.go
+++ b/cmd/cloverdoor/soak_test.go
@@ -41,7 +41,8 @@
 		if err != nil {
 			t.Fatalf("seed %d could not be played: %v", seed, err)
 		}
-		t.Logf("seed %d: %d troubles, %d requests, %d served, %d violations", seed, len(result.Schedule), result.Requests, result.Served, len(result.Violations))
+		t.Logf("seed %d: %d troubles, %d programs, %d requests, %d served, %d violations",
+			seed, len(result.Schedule), result.Lives, result.Requests, result.Served, len(result.Violations))
 		for _, v := range result.Violations {
 			t.Errorf("seed %d: %v", seed, v)
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -34,6 +34,7 @@
 	noReader    bool          // nobody reads its log in the next life
 	settings    map[string]any
 	busy        sync.Mutex // held by the trouble that it is in
+	socket      *os.File   // for clients, held by the platform; nil: each program opens its own
 }
 
 // writeConfig writes the configuration with the events so far.
@@ -73,6 +74,10 @@
 	p.cmd = exec.Command(p.r.options.Program)
 	p.cmd.Env = append(append(os.Environ(), p.r.options.Environment...), "BALANCER_CONFIG="+p.config)
 	p.cmd.Env = append(p.cmd.Env, p.environment...)
+	if p.socket != nil {
+		p.cmd.ExtraFiles = []*os.File{p.socket}
+		p.cmd.Env = append(p.cmd.Env, fmt.Sprintf("BALANCER_LISTEN_FD=%d", firstExtraFile))
+	}
 	log, write, err := logPipe(p.noReader)
 	if err != nil {
 		return err
@@ -92,7 +97,7 @@
 		p.readLog(log)
 	}()
 	go p.await(life, cmd, exited, read)
-	go p.awaitReady(life)
+	go p.awaitReady(life, exited)
 	return nil
 }
 
@@ -155,8 +160,8 @@
 }
 
 // awaitReady asks until the process says that it can serve.
-func (p *process) awaitReady(life *Life) {
-	for ended := p.exited; ; {
+func (p *process) awaitReady(life *Life, ended <-chan struct{}) {
+	for {
 		select {
 		case <-ended:
 			return
@@ -264,6 +269,42 @@
 	}
 }
 
+// firstExtraFile is the descriptor of the first file that a program is given.
+const firstExtraFile = 3
+
+// holdSocket opens the clients' address for all programs to come.
+func (p *process) holdSocket() error {
+	ln, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	p.socket, err = ln.(*net.TCPListener).File()
+	return err
+}
+
+// handOver starts the next life beside the one under way, on the same socket, and ends that when the next is ready.
+func (p *process) handOver() error {
+	p.mu.Lock()
+	old, cmd, exited := p.life, p.cmd, p.exited
+	p.admin = freeAddr(p.r.options.Host(10 + p.number))
+	p.mu.Unlock()
+	if err := p.start(); err != nil {
+		return err
+	}
+	p.awaitLife(func(l *Life, age time.Duration) bool { return l.Ready != 0 })
+	p.r.h.do(func() { old.Termed = p.r.h.Now() })
+	cmd.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
+	select {
+	case <-exited:
+	case <-time.After(p.r.limits.LongestWait + killTime + machineSlack):
+		p.r.h.do(func() { old.Killed = p.r.h.Now() })
+		cmd.Process.Kill() //nolint:errcheck // as above
+		<-exited
+	}
+	return nil
+}
+
 // kill ends the life at once.
 func (p *process) kill() {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,6 +49,7 @@
 	Violations []Violation
 	Requests   int
 	Served     int
+	Lives      int // programs that were started
 }
 
 // run is one run under way.
@@ -96,7 +97,7 @@
 		return Result{}, err
 	default:
 	}
-	result := Result{Seed: seed, Schedule: schedule, Violations: Check(r.h), Requests: len(r.h.Requests)}
+	result := Result{Seed: seed, Schedule: schedule, Violations: Check(r.h), Requests: len(r.h.Requests), Lives: len(r.h.Lives)}
 	for _, q := range r.h.Requests {
 		if len(q.Answers) > 0 && q.Answers[0].Status == "200" {
 			result.Served++
@@ -178,6 +179,11 @@
 		if p.addr, p.admin, err = freeAddr(r.options.Host(10+i)), freeAddr(r.options.Host(10+i)), nil; p.addr == "" || p.admin == "" {
 			return fmt.Errorf("no free address for proxy %d", i)
 		}
+		if i%2 == 1 {
+			if err := p.holdSocket(); err != nil {
+				return err
+			}
+		}
 		r.fleet = append(r.fleet, p)
 		if err := p.start(); err != nil {
 			return err
@@ -285,6 +291,9 @@
 		if p.cmd != nil && p.cmd.Process != nil {
 			p.cmd.Process.Kill() //nolint:errcheck // it may have ended
 		}
+		if p.socket != nil {
+			p.socket.Close() //nolint:errcheck // nothing comes any more
+		}
 	}
 	for _, s := range r.servers() {
 		if s != nil {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -23,10 +23,11 @@
 
 // The kinds of troubles, by what they hit.
 var (
-	processTroubles = []string{"freeze", "term", "kill", "reload", "broken-reload", "drain-order", "deaf-log", "wrong-clock", "failing-calls"}
-	cacheTroubles   = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace", "retire"}
-	feedTroubles    = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge", "unknown-event"}
-	otherTroubles   = []string{"purge-group", "purge-storm", "origin-hang", "origin-reset"}
+	processTroubles = []string{"freeze", "term", "kill", "reload", "broken-reload", "drain-order", "deaf-log", "wrong-clock", "failing-calls",
+		"hand-over"}
+	cacheTroubles = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace", "retire"}
+	feedTroubles  = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge", "unknown-event"}
+	otherTroubles = []string{"purge-group", "purge-storm", "origin-hang", "origin-reset"}
 )
 
 const (
@@ -100,6 +101,12 @@
 		p.awaitSettled()
 		r.must(p.breakConfig())
 		p.signal(reloadSignal)
+	case "hand-over":
+		if p.socket == nil {
+			return
+		}
+		p.environment = nil
+		r.must(p.handOver())
 	case "drain-order":
 		p.drain(t.Length)
 	case "deaf-log":
