Failing test: purges that catch up after a pause count as older than they are

It is a fault of this request's own peerClock: the first late purges move the clock back, an age is cut at 0 there, and the way forth moves the purge by more than the way back had.

--- a/internal/proxy/peerclock_test.go
+++ b/internal/proxy/peerclock_test.go
@@ -72,3 +72,40 @@
 		}
 	}
 }
+
+// After a pause many purges come at once, the oldest first: late news says nothing of the clock, and no purge counts as older
+// than it is once the last of them has come.
+func TestPurgesThatCatchUp(t *testing.T) {
+	p, age := told(t, 0)
+	clock := &handClock{now: p.loop.Now()}
+	loop, err := net.NewLoop(clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.loop = loop
+	age(0, true) // in time
+	router := policy.New(policy.Settings{ParentKind: -1, OriginKind: 1, Classes: []policy.Class{{Effect: policy.Safe, Aim: time.Second}},
+		ClearedWithin: 6 * time.Second, PurgeGrace: 300 * time.Millisecond}, 1)
+	router.Handle(loop.Now(), policy.MemberList{Whole: true, Members: []policy.Member{{ID: "c", State: policy.Ready, Weight: 10}, {ID: "o", State: policy.Ready, Kind: 1}}})
+	clock.now += 3 * time.Second // nothing was heard meanwhile
+	if err := loop.Wait(0); err != nil {
+		t.Fatal(err)
+	}
+	const last = 950 * time.Millisecond
+	for ago := 3 * time.Second; ago >= 0; ago -= 50 * time.Millisecond {
+		object := "another"
+		if ago == last {
+			object = "x"
+		}
+		p.inbox = nil
+		p.applyEvent(feed.Event{Evict: &feed.Evict{Object: object, At: (loop.Now() - ago).Milliseconds()}})
+		for _, ev := range p.inbox {
+			router.Handle(loop.Now(), ev)
+		}
+	}
+	for _, a := range router.Handle(loop.Now(), policy.Request{ID: 1, Object: "x", Left: time.Second}) {
+		if f, ok := a.(policy.Fetch); ok && (f.MaxAge <= 0 || f.MaxAge > last) {
+			t.Errorf("copies of %v are asked for, the purge was %v ago", f.MaxAge, last)
+		}
+	}
+}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -89,7 +89,7 @@
 func (o *oracle) answers(q *Request) {
 	life := o.h.life(q.Proxy, q.Life)
 	who := fmt.Sprintf("request %s (%s, proxy %d)", q.ID, q.Class, q.Proxy)
-	words := []string{q.ID}
+	words := []string{q.ID, proxyName(q.Proxy)}
 	if len(q.Answers) > 1 {
 		o.report("second answer", q.Answers[1].At, words, "%s got %d answers", who, len(q.Answers))
 	}
@@ -152,7 +152,7 @@
 				continue
 			}
 			if told := o.told(e, q); c.First > told+o.h.Limits.PurgeGrace+socketSlack+machineSlack {
-				o.report("purged copy", c.First, []string{q.ID, c.Server}, "request %s was sent %.3f after it was told of a purge, and served from a copy %v older",
+				o.report("purged copy", c.First, []string{q.ID, c.Server, q.Object, proxyName(q.Proxy)}, "request %s was sent %.3f after it was told of a purge, and served from a copy %v older",
 					q.ID, (c.First - told).Seconds(), e.Moment.Sub(c.Made))
 			}
 		}
@@ -169,7 +169,7 @@
 	if c.Held { // it is not known when it was sent
 		return
 	}
-	words := []string{c.ID, c.Server}
+	words := []string{c.ID, c.Server, proxyName(q.Proxy)}
 	if q.Left != 0 && c.First > q.Left+leftGrace+machineSlack {
 		o.report("begun after left", c.First, words, "request %s began at %s %.3f after its client had left", c.ID, c.Server, (c.First - q.Left).Seconds())
 	}
@@ -248,7 +248,7 @@
 // process checks one process by the rules on starts, ends and limits.
 func (o *oracle) process(l *Life) {
 	who := fmt.Sprintf("proxy %d, life %d", l.Proxy, l.Number)
-	words := []string{fmt.Sprintf("proxy-%d", l.Proxy)}
+	words := []string{proxyName(l.Proxy)}
 	due := l.running(l.Started, readyWithin)
 	ended := func(at time.Duration) bool { return at != 0 && at < due }
 	if (l.Ready == 0 || l.Ready > due) && !ended(l.Killed) && !ended(l.Termed) && !ended(l.Exited) {
@@ -270,3 +270,6 @@
 		o.report("descriptors", l.Exited, words, "%s held %d descriptors", who, l.MostDescriptors)
 	}
 }
+
+// proxyName is a proxy's name in the timeline.
+func proxyName(number int) string { return fmt.Sprintf("proxy-%d", number) }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -117,7 +117,7 @@
 // pipeSize is what a pipe holds.
 const pipeSize = 64 << 10
 
-func (p *process) name() string { return fmt.Sprintf("proxy-%d", p.number) }
+func (p *process) name() string { return proxyName(p.number) }
 
 // readLog takes the log into the timeline. While nobody is to read it, it waits.
 func (p *process) readLog(log io.ReadCloser) {
