Never move a purge to earlier, and judge the clock by ten seconds of news

Cause: peerClock took the last 8 purges as its evidence, so a burst of late ones moved the clock back and forth; ClockCorrection moved purges both ways, though an age that was cut at 0 can't be moved back without loss.

Change: the evidence is the latest time of the last 10 s (a sliding maximum), so that late news moves nothing while timely news is fresh; a correction moves purges to later only.

--- a/internal/proxy/peerclock.go
+++ b/internal/proxy/peerclock.go
@@ -12,8 +12,8 @@
 const (
 	// tellDelay is how late a purge is told at the most while all is well: one that is told within it shows nothing wrong.
 	tellDelay = 500 * time.Millisecond
-	// clockSamples is how many purges are looked at: one wrong time, or some that are told late, are forgotten after as many.
-	clockSamples = 8
+	// sampleAge is for how long a time that was told counts: one wrong time, or news that is late, is forgotten after that.
+	sampleAge = 10 * time.Second
 	// leastCorrection is the smallest change that is worth to be applied.
 	leastCorrection = 200 * time.Millisecond
 )
@@ -22,17 +22,22 @@
 // clock once, at the start, and may have been wrong by then. What is told has happened before it comes, so the latest of the
 // recent times is a bound on what time it is; the own clock is believed as long as it agrees with that.
 type peerClock struct {
-	samples []time.Duration // how far what was told lay ahead of the loop's clock as it came
-	offset  time.Duration   // added to the loop's clock, it gives the coordinator's time
+	samples []clockSample
+	offset  time.Duration // added to the loop's clock, it gives the coordinator's time
+}
+
+// clockSample is how far a time that was told lay ahead of the loop's clock as it came.
+type clockSample struct {
+	at    net.Clock
+	ahead time.Duration
 }
 
 // observe takes note of a time that was told just now. It returns how much later than thought the coordinator's clock is,
 // 0 for no change that counts.
 func (c *peerClock) observe(told, now net.Clock) time.Duration {
-	if c.samples = append(c.samples, told-now); len(c.samples) > clockSamples {
-		c.samples = c.samples[1:]
-	}
-	least, offset := slices.Max(c.samples), time.Duration(0)
+	c.samples = slices.DeleteFunc(c.samples, func(s clockSample) bool { return now-s.at > sampleAge || s.ahead <= told-now })
+	c.samples = append(c.samples, clockSample{at: now, ahead: told - now})
+	least, offset := c.samples[0].ahead, time.Duration(0) // each one lies further ahead than those after it
 	if least > 0 || least < -tellDelay {
 		offset = least
 	}
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -55,6 +55,7 @@
 }
 
 // ClockCorrection says that the clock times of starts and purges that were told so far were off: each is later by By.
+// A purge is never moved to earlier, also where By is under 0: it must not count as older than it is.
 type ClockCorrection struct{ By time.Duration }
 
 func (c ClockCorrection) apply(r *Router) {
@@ -64,7 +65,7 @@
 		}
 	}
 	for key := range r.purges {
-		r.purges[key] += c.By
+		r.purges[key] += max(0, c.By)
 	}
 }
 
