--- a/internal/net/system_test.go
+++ b/internal/net/system_test.go
@@ -304,3 +304,83 @@
 	n, err := unix.Poll(fds, 0)
 	return err == nil && n > 0
 }
+
+// testClock is moved on by a test.
+type testClock struct{ now Clock }
+
+func (c *testClock) Now() Clock                             { return c.now }
+func (c *testClock) Nap(wanted time.Duration) time.Duration { return min(wanted, time.Millisecond) }
+
+// The process is stopped just after it has looked at what is ready. What comes until it goes on has waited, though it is found in
+// the turn after the next look only.
+func TestStoppedBehindALook(t *testing.T) {
+	const stopped, nap = 2 * time.Second, 50 * time.Millisecond
+	clock := &testClock{now: Clock(time.Now().UnixNano())}
+	loop, err := NewLoop(clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var waited []time.Duration
+	var conns []*Conn
+	var peers []net.Conn
+	for range 2 {
+		w := &waiter{loop: loop, waited: &waited}
+		conn, err := loop.Dial(netip.MustParseAddrPort(ln.Addr().String()), time.Minute, w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		turns(t, loop, conn.Up)
+		peer, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer peer.Close()
+		conns, peers = append(conns, conn), append(peers, peer)
+	}
+	come := func(i int) { // something comes on a connection
+		if _, err := peers[i].Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(time.Second); !conns[i].Unread() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	come(0)
+	stop := true
+	substitute(t, func(s *SystemCalls) {
+		real := s.Wait
+		s.Wait = func(epoll int, events []unix.EpollEvent, millis int) (int, error) {
+			n, err := real(epoll, events, millis)
+			if stop && n > 0 {
+				stop = false
+				clock.now += stopped
+				come(1)
+			}
+			return n, err
+		}
+	})
+	turns(t, loop, func() bool { return len(waited) == 2 })
+	for i, w := range waited {
+		if w < stopped-nap {
+			t.Errorf("the %d. counts as having waited for %v", i+1, w)
+		}
+	}
+}
+
+// waiter notes how long the process had been held up when something was read.
+type waiter struct {
+	loop   *Loop
+	waited *[]time.Duration
+}
+
+func (w *waiter) Receive(data []byte) (int, error) {
+	*w.waited = append(*w.waited, w.loop.Stalled(50*time.Millisecond))
+	return len(data), nil
+}
+
+func (w *waiter) Closed(error) {}
