Take the time of a look at what is ready from before it where the process was held up

Cause: Loop.lastPoll was the clock after epoll_wait. A stop between the two made it later than the look was.

Change: a look that took over 10 ms longer than it was to wait counts as of its beginning.

--- a/internal/net/input.go
+++ b/internal/net/input.go
@@ -25,7 +25,7 @@
 	}
 	before := c.loop.lastPoll
 	if c.loop.polledAll { // its end would have been seen as the turn began
-		c.loop.lastPoll = c.loop.now
+		c.loop.lastPoll = c.loop.looked
 	}
 	c.ready(uint32(fds[0].Revents))
 	c.loop.lastPoll = before
--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -31,7 +31,8 @@
 	clock     TimeSource
 	now       Clock
 	lastPoll  Clock   // when the last look at all that is ready ended: what is new in this turn came after it
-	polledAll bool    // the last look was at all
+	looked    Clock   // when the look of this turn ended, or a time before that
+	polledAll bool    // it was at all
 	dirty     []*Conn // with output queued in this turn
 	held      int     // bytes held in all buffers and queues
 	read      []byte  // shared by all reads
@@ -47,6 +48,9 @@
 // coordinator told is heard in the same turn as the requests that came with it.
 const mostEvents = 4096
 
+// lookSlack is what a look may take beyond the time for which it waits.
+const lookSlack = 10 * time.Millisecond
+
 // mostFailures is how often in a row the wait for readiness may fail.
 const mostFailures = 100
 
@@ -92,7 +96,7 @@
 // that is ready.
 func (l *Loop) Wait(most time.Duration) error {
 	if l.polledAll {
-		l.lastPoll = l.now
+		l.lastPoll = l.looked
 	}
 	l.tick()
 	if len(l.timers) > 0 {
@@ -105,7 +109,11 @@
 	if err := l.waitFailed(err); err != nil {
 		return err
 	}
+	began := l.now
 	l.tick()
+	if l.looked = l.now; l.now-began > l.napped+lookSlack { // it was held up, and nobody knows before the look or behind it
+		l.looked = began
+	}
 	l.polledAll = n >= 0 && n < len(l.events) // a signal, also one that had stopped the process, cuts the look short
 	for _, ev := range l.events[:max(n, 0)] {
 		// One closed earlier in this turn is not there any more, or has another number.
