Failing test: a burst of answers in one turn loses some of them

Need: found by reading responder.write: a client with anything queued loses its connection when more than half of the memory limit is held. What has been queued in the turn itself counts, also where the client reads; others' answers fill the memory.

--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -164,6 +165,41 @@
 	}
 }
 
+// More answers than memory is meant for come in one turn, after a pause. No client that reads loses any.
+func TestBurstOfAnswersAfterAPause(t *testing.T) {
+	const clients, each = 20, 4
+	w := prepare(t)
+	w.memory = 16
+	w.startBehind(w.cache, w.origin)
+	big := strings.Repeat("x", 240_000)
+	var all []*client
+	for i := range clients {
+		c := w.dial()
+		for id := range uint16(each) {
+			c.ask(id+1, "artes", longWait, i*each+int(id), "")
+		}
+		all = append(all, c)
+	}
+	var calls []*call
+	for range clients * each {
+		calls = append(calls, receive(t, w.cache.calls, "call"))
+	}
+	thaw := w.freeze()
+	var answered sync.WaitGroup
+	for _, got := range calls {
+		answered.Go(func() { got.answer("served", "-", big) })
+	}
+	answered.Wait() // what the program's system takes of each
+	thaw()
+	for i, c := range all {
+		for range each {
+			if a := receive(t, c.answers, "answer"); a.body != big {
+				t.Fatalf("client %d: answer %d has status %q and %d bytes", i, a.id, a.status, len(a.body))
+			}
+		}
+	}
+}
+
 // A client that reads nothing neither holds up the others nor costs memory without bound.
 func TestClientThatDoesNotRead(t *testing.T) {
 	w := newWorld(t)
