Write answers at once where memory is short, and close only clients that read nothing

Cause: responder.write closed any connection with something queued while over half of the memory limit was held; what had been queued in the same turn counted, so others' answers took a client's own with them.

Change: there the queue is written at once, and only a client that has taken nothing for 0.2 s loses its connection, also without a further answer of its own (Front.watch).

--- a/internal/net/output.go
+++ b/internal/net/output.go
@@ -80,6 +80,14 @@
 	return n
 }
 
+// Flush writes at once what is queued, as far as the peer takes it. It is for connections without messages, whose turn need not be
+// over.
+func (c *Conn) Flush() {
+	if !c.closed {
+		c.flush()
+	}
+}
+
 // flush writes until the peer takes no more.
 func (c *Conn) flush() {
 	for c.up && !c.closed && len(c.queue) > 0 {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -75,7 +75,7 @@
 func (c *clientConn) Receive(data []byte) (used int, err error) {
 	asked := c.asked
 	used, err = c.records(data)
-	if err == nil && c.front.p.held() > 2*c.front.p.maxHeld {
+	if err == nil && c.front.memoryFull() {
 		err = errFull
 	}
 	if err != nil {
@@ -282,6 +282,24 @@
 	c.done(id, fastcgi.AppendEnd(nil, id, 1, fastcgi.Complete))
 }
 
+// makeRoom keeps answers from using up the memory. What has been queued in this turn goes out at once; a client that has left
+// its answers unread for a while loses its connection, which tells it that they are not whole.
+func (c *clientConn) makeRoom() {
+	if !c.front.memoryFull() {
+		return
+	}
+	if c.conn.Flush(); c.unreadSince(unreadAfter) {
+		c.conn.Close()
+		c.Closed(errFull)
+	}
+}
+
+// unreadSince says that the client has taken nothing of what it is owed for so long.
+func (c *clientConn) unreadSince(length time.Duration) bool {
+	bytes, since := c.conn.Backlog()
+	return bytes > 0 && !c.conn.Ended() && c.front.p.loop.Now()-since > length
+}
+
 // done writes the last bytes of a request and frees its number.
 func (c *clientConn) done(id uint16, data []byte) {
 	delete(c.open, id)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -14,6 +14,8 @@
 	opsPath    = "/ops/"
 	// stuckAfter is how long a client may take nothing of what it is owed before its connection is closed.
 	stuckAfter = 10 * time.Second
+	// unreadAfter is the same where the memory is full.
+	unreadAfter = 200 * time.Millisecond
 	// idleAfter is when a connection that brings nothing and is owed nothing is closed. Clients close theirs
 	// after 4 s, so one that stays would keep its descriptor for good.
 	idleAfter = 5 * time.Second
@@ -127,9 +129,9 @@
 	f.leave()
 	for c := range f.conns {
 		c.refuseParked(f.p.loop.Now())
-		bytes, since := c.conn.Backlog()
+		bytes, _ := c.conn.Backlog()
 		switch {
-		case bytes > 0 && f.p.loop.Now()-since > stuckAfter:
+		case c.unreadSince(stuckAfter), f.memoryFull() && c.unreadSince(unreadAfter):
 			f.p.log.Info("client's connection closed, it takes nothing", "connection", c.number, "bytes", bytes)
 			c.conn.Close()
 			c.Closed(net.ErrBacklog)
@@ -155,6 +157,9 @@
 	}
 }
 
+// memoryFull says that clients and caches hold more than may be: what only holds memory has to go.
+func (f *Front) memoryFull() bool { return f.p.held() > 2*f.p.maxHeld }
+
 // mayClose says whether a connection can be closed now, and counts where it can't.
 func (f *Front) mayClose(c policy.Connection) bool {
 	return f.p.denied.allows(actionClose, policy.MayClose(c))
--- a/internal/proxy/responder.go
+++ b/internal/proxy/responder.go
@@ -49,11 +49,7 @@
 	if r.conn.conn.Ended() {
 		return
 	}
-	// Clients that leave their answers unread must not use up the memory: the one with a backlog loses its
-	// connection, which tells it that the answer is not whole.
-	if n, _ := r.conn.conn.Backlog(); n > 0 && r.conn.front.p.held() > 2*r.conn.front.p.maxHeld {
-		r.conn.conn.Close()
-		r.conn.Closed(errFull)
+	if r.conn.makeRoom(); r.conn.conn.Ended() {
 		return
 	}
 	r.conn.done(r.id, fastcgi.AppendResponse(make([]byte, 0, len(resp.Body)+256), r.id, resp))
