Failing test: what a client asks after the memory was full is lost

When memory runs out, a connection is no longer reset, but it is not read any more either: what its client asks next, before it hears of that, is closed on. Trouble with other clients must free no request.

--- a/cmd/cloverdoor/client_test.go
+++ b/cmd/cloverdoor/client_test.go
@@ -165,6 +165,47 @@
 	}
 }
 
+// A client whose request is turned away in the middle, as others have filled the memory, may ask again on its connection: also
+// where the rest of it has yet to come.
+func TestConnectionGoesOnAfterMemoryWasFull(t *testing.T) {
+	const clients = 200
+	w := prepare(t)
+	w.memory = 16
+	w.startBehind(w.cache, w.origin)
+	w.cache.serve("served", "-", "fine")
+	var all []*client
+	const size, part = 60_000, 50_000
+	content := strings.Repeat("x", size)
+	for range clients {
+		c := w.dial()
+		c.record(1, 2, "\x00\x01\x01\x00\x00\x00\x00\x00")
+		c.record(5, 2, content[:size/2])
+		out := &batch{Conn: c.Conn}
+		(&client{Conn: out}).record(5, 2, content)
+		c.Write(out.out[:part]) //nolint:errcheck // a lost connection shows in the answers
+		all = append(all, c)
+	}
+	turnedAway := 0
+	for i, c := range all {
+		out := &batch{Conn: c.Conn}
+		(&client{Conn: out}).record(5, 2, content)
+		c.Write(out.out[part:]) //nolint:errcheck // as above
+		c.ask(3, "artes", longWait, i, "")
+		for id := uint16(0); id != 3; {
+			a := receive(t, c.answers, "answer")
+			if id = a.id; id == 0 {
+				t.Fatalf("client %d: closed with no answer", i)
+			}
+			if a.protocol == 2 {
+				turnedAway++
+			}
+		}
+	}
+	if turnedAway == 0 {
+		t.Error("the memory was never full")
+	}
+}
+
 // More answers than memory is meant for come in one turn, after a pause. No client that reads loses any.
 func TestBurstOfAnswersAfterAPause(t *testing.T) {
 	const clients, each = 20, 4
