Go on reading a client whose half request was turned away for lack of memory

Cause: errFull was treated like a record that can't be read: the connection was left unread and closed after its last answer.

Change: the requests that have come in part are turned away, what still comes of them and of a large record that has begun is passed over, and the connection goes on. Framing is kept, as only whole records, or the known rest of one, are passed over.

--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -136,6 +136,15 @@
 	return used, ev, err
 }
 
+// Missing is how many bytes the record that data begins with still lacks; 0: it is whole, or its header is not.
+func Missing(data []byte) int {
+	if len(data) < headerLen {
+		return 0
+	}
+	size := headerLen + int(binary.BigEndian.Uint16(data[4:])) + int(data[6])
+	return max(0, size-len(data))
+}
+
 func (d *Decoder) record(kind byte, id uint16, content []byte) (Event, error) {
 	if id == 0 {
 		return management(kind, content)
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"math"
 	"slices"
 	"time"
@@ -18,6 +17,7 @@
 	decoder fastcgi.Decoder
 	open    map[uint16]int64 // the proxy's number of each open request
 	partial int              // bytes of requests that have not come whole
+	skip    int              // bytes to come that are passed over
 	last    bool             // the client asked for no further request on it
 	parked  []parked         // requests that wait until the client has read more
 	goneBy  net.Clock        // from when on nothing begins for a client that has left; 0: it has not
@@ -74,14 +74,16 @@
 // Receive takes whole records off what has come in.
 func (c *clientConn) Receive(data []byte) (used int, err error) {
 	asked := c.asked
-	used, err = c.records(data)
-	if err == nil && c.front.memoryFull() {
-		err = errFull
-	}
-	if err != nil {
+	skipped := min(c.skip, len(data))
+	c.skip -= skipped
+	used, err = c.records(data[skipped:])
+	if used += skipped; err != nil {
 		c.stopReading(err)
 		return len(data), nil
 	}
+	if c.front.memoryFull() {
+		used += c.turnAwayPartial(data[used:])
+	}
 	c.recount()
 	switch unfinished := used < len(data) || c.decoder.Receiving(); {
 	case !unfinished && c.asked > 0:
@@ -92,22 +94,33 @@
 	return used, nil
 }
 
-// stopReading leaves the rest of what the client sends unread: it can't be read, or there is no memory for it. What came
-// whole is owed its answer; the connection is closed after the last one.
+// stopReading leaves the rest of what the client sends unread, as it can't be read. What came whole is owed its answer; the
+// connection is closed after the last one.
 func (c *clientConn) stopReading(err error) {
 	c.front.p.log.Warn("client's connection is not read any more", "connection", c.number, "error", err, "open", len(c.open))
 	c.conn.StopReading()
 	c.last = true
 	c.incompleteSince = 0
-	for _, id := range c.decoder.Drop() {
-		if errors.Is(err, errFull) {
-			c.conn.Write(fastcgi.AppendEnd(nil, id, 0, fastcgi.Overloaded))
-		}
-	}
+	c.decoder.Drop()
 	c.recount()
 	c.closeIfLast()
 }
 
+// turnAwayPartial gives back the memory of requests that have come in part: they are refused, and what still comes of them is passed
+// over. It returns how much of a record that has begun is used up: the rest of it is skipped.
+func (c *clientConn) turnAwayPartial(record []byte) (used int) {
+	for _, id := range c.decoder.Drop() {
+		c.asked++
+		c.conn.Write(fastcgi.AppendEnd(nil, id, 0, fastcgi.Overloaded))
+	}
+	rest := fastcgi.Missing(record)
+	if rest == 0 || len(record) < leastSkipped {
+		return 0
+	}
+	c.skip = rest
+	return len(record)
+}
+
 // count keeps the proxy's sum of unfinished requests. A connection may be closed while what it brought is being
 // taken: counted afterwards, it would stay in the sum for good, and the front would refuse more and more.
 func (c *clientConn) count(held int) {
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -31,6 +31,9 @@
 	goneAfter = 80 * time.Millisecond
 	// lookAgainAfter is how long a turn lasts before clients are looked at once more: what was heard of them is too old then.
 	lookAgainAfter = 30 * time.Millisecond
+	// leastSkipped is from which size on the beginning of a record is not kept where the memory is full. What begins a request is
+	// shorter.
+	leastSkipped = 1 << 10
 	// backpressureAt is how many bytes of answers a client may leave unread before its further requests wait.
 	backpressureAt = 1 << 20
 	// evictIdleAfter is the same for one that is owed nothing: a request that crosses the close within 50 ms is sent
