Close clients that read nothing also while their connections are ending

Change: the check goes by what is queued alone, as it did.

Measured: tests of clients that do not read, of slow readers and of stops pass. No test forces this one: an answer that is larger than the system's buffers can't be had on one connection, as further requests wait at 1 MB.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -310,7 +310,7 @@
 // unreadSince says that the client has taken nothing of what it is owed for so long.
 func (c *clientConn) unreadSince(length time.Duration) bool {
 	bytes, since := c.conn.Backlog()
-	return bytes > 0 && !c.conn.Ended() && c.front.p.loop.Now()-since > length
+	return bytes > 0 && c.front.p.loop.Now()-since > length
 }
 
 // done writes the last bytes of a request and frees its number.
