A number that the coordinator repeats shows that a line passed over was no event

Need: lines that can't be read and come again and again each let one more event be missing without a word.

Change: a number that names the last event taken sets that count back.

Measured: the tests of unreadable lines, gaps and states pass.

--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -229,6 +229,9 @@
 		most++
 	}
 	switch place := (gap{f.last, ev.Index}); {
+	case ev.Tick() && ev.Index == f.last: // what could not be read was no event
+		f.unreadable.over = 0
+		return nil
 	case ev.Index <= f.last:
 		return nil
 	case ev.Index > most && place != f.gap:
