Failing test: requests that waited in a held socket since before the start

Its socket is held by the platform; the next process took what had waited there since before it was started as new.

Measured: a request whose 0.5 s were over before the start is served.

--- a/cmd/cloverdoor/replace_test.go
+++ b/cmd/cloverdoor/replace_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // A process that takes over serves on the socket that the platform holds. The old one lets nothing in any more once
@@ -61,6 +62,30 @@
 	}
 }
 
+// What waited in the held socket's queue before the process was started has waited for as long.
+func TestRequestFromBeforeTheStart(t *testing.T) {
+	w := prepare(t)
+	w.cache.serve("served", "-", "fine")
+	held := listen(t).(*net.TCPListener)
+	socket, err := held.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	w.socket, w.addr = socket, held.Addr().String()
+	late, inTime := w.dial(), w.dial()
+	late.ask(1, "artes", 500, 1, "")
+	inTime.ask(2, "artes", longWait, 2, "")
+	time.Sleep(600 * time.Millisecond) // not a race: it is by this that the first one's time is over
+	w.start(list(1, true, member("c1", "std", "edge", "SERVING", w.cache), member("o1", "origin", "hub", "SERVING", w.origin)))
+	if a := receive(t, late.answers, "refusal"); a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if a := receive(t, inTime.answers, "answer"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
+
 func TestBadListenDescriptor(t *testing.T) {
 	for _, fd := range []string{"x", "-1", "9"} {
 		w := prepare(t)
