Ask the system how long what waits in a held socket has waited

Cause: a process that has never looked at what is ready has no time to count from, and its listener counted as never behind.

Change: a listener on a held socket begins as one that is behind, so that TCP_INFO tells how old its first connections are. The soak has crowds of silent clients among its troubles.

--- a/internal/net/listen.go
+++ b/internal/net/listen.go
@@ -67,7 +67,11 @@
 		return nil, fmt.Errorf("listen on descriptor %d: %w", fd, startError(err))
 	}
 	unix.CloseOnExec(fd)
-	return l.listener(fd, room, accept)
+	ln, err := l.listener(fd, room, accept)
+	if err == nil {
+		ln.behind = true // since before this process was started
+	}
+	return ln, err
 }
 
 func (l *Loop) listener(fd int, room func() bool, accept func(*Conn) Handler) (*Listener, error) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -347,6 +347,27 @@
 	})
 }
 
+// crowd has more clients connect and say nothing than the proxy has descriptors for, and again as soon as one is closed.
+func (p *process) crowd(length time.Duration) {
+	var idlers sync.WaitGroup
+	end := time.Now().Add(length)
+	for range p.r.limits.Descriptors / 2 {
+		idlers.Go(func() {
+			for time.Now().Before(end) {
+				conn, err := net.DialTimeout("tcp", p.addr, time.Second)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				conn.SetReadDeadline(end)  //nolint:errcheck // shows in the read
+				conn.Read(make([]byte, 1)) //nolint:errcheck // its end is waited for
+				conn.Close()               //nolint:errcheck // as above
+			}
+		})
+	}
+	idlers.Wait()
+}
+
 // breakConfig leaves a configuration that was cut off.
 func (p *process) breakConfig() error {
 	text, err := os.ReadFile(p.config)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -24,7 +24,7 @@
 // The kinds of troubles, by what they hit.
 var (
 	processTroubles = []string{"freeze", "term", "kill", "reload", "broken-reload", "drain-order", "deaf-log", "wrong-clock", "failing-calls",
-		"hand-over"}
+		"hand-over", "crowd"}
 	cacheTroubles = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace", "retire"}
 	feedTroubles  = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge", "unknown-event"}
 	otherTroubles = []string{"purge-group", "purge-storm", "origin-hang", "origin-reset"}
@@ -76,6 +76,10 @@
 
 func (r *run) playProcess(t Trouble) {
 	p := r.fleet[t.Target]
+	if t.Kind == "crowd" { // beside any other
+		p.crowd(t.Length)
+		return
+	}
 	p.busy.Lock() // one trouble of a process after another; those of others overlap
 	defer p.busy.Unlock()
 	again := func(environment ...string) {
