--- a/cmd/cloverdoor/shutdown_test.go
+++ b/cmd/cloverdoor/shutdown_test.go
@@ -220,3 +220,22 @@
 		t.Error(err)
 	}
 }
+
+// A process that has no list yet ends in good order too.
+func TestTermWhileStarting(t *testing.T) {
+	t.Parallel()
+	w := prepare(t)
+	w.start()
+	w.awaitAlive("503")
+	c := w.dial()
+	c.ask(1, "artes", longWait, 1, "")
+	if a := receive(t, c.answers, "answer"); a.status != "503" {
+		t.Errorf("%+v", a)
+	}
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := receive(t, w.exit, "exit"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -15,6 +15,7 @@
 const (
 	classRead  = "artes"    // safe to repeat
 	classWrite = "registro" // must never run twice
+	classKeyed = "sellos"   // repeats are dropped for a while, by the request's key
 )
 
 const (
@@ -81,8 +82,10 @@
 	}
 	wait := 1500 * time.Millisecond
 	switch draw := d.rng.Float64(); {
-	case draw < 0.70:
+	case draw < 0.60:
 		c.ask(d.request(classRead, wait), nil)
+	case draw < 0.70:
+		c.ask(d.request(classKeyed, wait), nil)
 	case draw < 0.82:
 		c.ask(d.request(classWrite, wait), nil)
 	case draw < 0.85: // little time
@@ -279,6 +282,10 @@
 	} {
 		pairs = append(append(append(pairs, byte(len(p[0])), byte(len(p[1]))), p[0]...), p[1]...)
 	}
+	if q.Class == classKeyed {
+		name := "HTTP_REQ_TOKEN"
+		pairs = append(append(append(pairs, byte(len(name)), byte(len(q.ID))), name...), q.ID...)
+	}
 	out := record(1, id, "\x00\x01\x01\x00\x00\x00\x00\x00")
 	out = append(append(out, record(4, id, string(pairs))...), record(4, id, "")...)
 	if q.Class == classWrite {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -115,6 +115,7 @@
 	Work                   time.Duration
 	Window, WarmWithin     time.Duration
 	LongestWait            time.Duration
+	KeyWindow              time.Duration // for which a key is known
 }
 
 // NewHistory begins a history.
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -59,6 +59,7 @@
 	for _, q := range h.Requests {
 		o.answers(q)
 		o.runsOnce(q)
+		o.repeats(q)
 		o.purged(q)
 	}
 	for _, c := range h.Calls {
@@ -127,6 +128,28 @@
 	}
 }
 
+// repeats checks that a keyed request is repeated only while its key is known: from the first call that may have run.
+func (o *oracle) repeats(q *Request) {
+	if q.Class != classKeyed {
+		return
+	}
+	var first *Call
+	for _, c := range o.h.Calls {
+		if c.ID == q.ID && !c.Held && !neverRan[c.Word] && (first == nil || c.First < first.First) {
+			first = c
+		}
+	}
+	for _, c := range o.h.Calls {
+		if first != nil && c.ID == q.ID && !c.Held && c.First > first.First+o.h.Limits.KeyWindow+socketSlack+machineSlack {
+			o.report("repeat after window", c.First, []string{q.ID, proxyName(q.Proxy)}, "request %s was repeated %.3f after a call that may have run",
+				q.ID, (c.First - first.First).Seconds())
+		}
+	}
+}
+
+// neverRan are the words that prove that a call did not run.
+var neverRan = map[string]bool{"overload": true, "not_here": true, "nobody": true}
+
 // told is when an event counts as told to a process.
 func (o *oracle) told(e *Told, q *Request) time.Duration {
 	at := e.At + tellWithin
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -58,6 +58,8 @@
 		}, "ran twice"},
 		{"refused after its run", func(h *History) { h.Requests[1].Answers[0].Status = "503" }, "refused after run"},
 		{"served without a run", func(h *History) { h.Calls[1].Ran = false }, "served unrun"},
+		{"repeated in its window", keyedAgain(300 * time.Millisecond), ""},
+		{"repeated after its window", keyedAgain(700 * time.Millisecond), "repeat after window"},
 		{"a call of nobody", func(h *History) { h.Calls[0].ID = "other" }, "unknown call"},
 		{"begun after the client had left", func(h *History) { h.Requests[0].Left = 9 * time.Second }, "begun after left"},
 		{"begun just after", func(h *History) { h.Requests[0].Left = 9950 * time.Millisecond }, ""},
@@ -89,6 +91,17 @@
 	}
 }
 
+// keyedAgain makes the read a keyed request that is sent again after a time.
+func keyedAgain(after time.Duration) func(*History) {
+	return func(h *History) {
+		h.Limits.KeyWindow = 400 * time.Millisecond
+		h.Requests[0].Class = classKeyed
+		again := *h.Calls[0]
+		again.Serial, again.First, again.Wait = 3, again.First+after, 0
+		h.Calls = append(h.Calls, &again)
+	}
+}
+
 // coldBurst sends calls at once to a server that has started, 0.3 s after its proxy was told. The settings allow it 25.5 by then.
 func coldBurst(h *History, count int) {
 	h.Starts = []Start{{Server: "cold", At: 13 * time.Second, Index: 5}}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,6 +21,7 @@
 	flowBytes    = 200_000 // a second of one transfer: an object takes 50 ms
 	cacheWeight  = 3.0     // transfers
 	cacheCount   = 4
+	keyWindow    = 400 * time.Millisecond
 	purgeEvery   = 400 * time.Millisecond
 	purgeDelay   = 40 * time.Millisecond // until the coordinator has it
 	measureEvery = 500 * time.Millisecond
@@ -85,7 +86,7 @@
 func play(seed uint64, o Options, schedule []Trouble) (Result, error) {
 	limits := Limits{MemoryKB: 64 << 10, Descriptors: 256, DrainGrace: 500 * time.Millisecond, PurgeGrace: 300 * time.Millisecond,
 		ClearedWithin: 6 * time.Second, Multiple: 2, Share: 0.1, Weight: cacheWeight, Work: bodySize * time.Second / flowBytes,
-		Window: time.Second, WarmWithin: 4 * time.Second, LongestWait: 3 * time.Second}
+		Window: time.Second, WarmWithin: 4 * time.Second, LongestWait: 3 * time.Second, KeyWindow: keyWindow}
 	r := &run{options: o, seed: seed, limits: limits, h: NewHistory(limits), failure: make(chan error, 100), over: make(chan struct{})}
 	defer r.end()
 	if err := r.begin(); err != nil {
@@ -331,11 +332,13 @@
 	class := func(name, effect string, gain float64) map[string]any {
 		return map[string]any{"name": name, "semantics": effect, "promise-us": 500000, "deadline-us": 2000000, "gain": gain, "aim-stretch": 2.0}
 	}
+	keyed := class(classKeyed, "idempotency_key", 1)
+	keyed["key-scope"], keyed["window-us"] = "all", keyWindow.Microseconds()
 	return map[string]any{
 		"areas": []string{"hub", "edge"}, "host-types": []string{"std", "parent", "origin"}, "zone": 1,
 		"group-size": fleet, "index": index, "weight-source": "nominal",
-		"classes": []any{class(classRead, "read_like", 2), class(classWrite, "non_idempotent", 3)},
-		"domain": map[string]any{"direct": true, "root-kind": 2, "upper-kind": 1, "can-join": true, "pass-on": []bool{false, true},
+		"classes": []any{class(classRead, "read_like", 2), class(classWrite, "non_idempotent", 3), keyed},
+		"domain": map[string]any{"direct": true, "root-kind": 2, "upper-kind": 1, "can-join": true, "pass-on": []bool{false, true, false},
 			"cleared-within-us": 6000000, "purge-slack-us": 300000, "peers-fill": "location", "one-flow-kb-per-s": flowBytes / 1000,
 			"count-by-zone": []int{0, fleet}, "attached-to": []int{0, 0}, "pipe-kb-per-s": []float64{0, 4000},
 			"parent-floor": 0.5, "upper-cold-us": 1, "parent-limit-factor": 2},
