Read on behind a line that can't be read

Cause: follower gave up the stream at the first unreadable line, and with it the events that had come behind.

Change: where more has come behind it, the line is passed over at once: TCP brings it whole, and to ask again would bring the same. A last line that can't be read, as of a stream that broke, is still asked for once more. What may be missing is counted by stream.

--- a/internal/proxy/coordinator.go
+++ b/internal/proxy/coordinator.go
@@ -49,12 +49,11 @@
 // more would bring nothing else.
 type gap struct{ after, index int64 }
 
-// unreadableLine is the last line that was neither an event nor a number. When it comes again at the same place, it is
-// passed over: to ask once more would bring it for a third time.
+// unreadableLine is the last line that was neither an event nor a number and had nothing behind it: its stream may have broken.
+// When it comes again at the same place, it is passed over: to ask once more would bring it for a third time.
 type unreadableLine struct {
 	text  []byte
 	after int64 // the last event that was taken before it
-	over  int64 // events that may be missing, as their lines were passed over
 }
 
 // stream is one connection on which the coordinator is followed.
@@ -65,6 +64,7 @@
 	silence  time.Duration // for how long it may bring nothing
 	line     time.Duration // for how long it may bring no whole line
 	skipping bool          // the rest of a line that is too long
+	over     int64         // events that may be missing, as lines were passed over since the last one
 }
 
 // Follow keeps the proxy up to date with the coordinator at addr from event last on.
@@ -159,7 +159,7 @@
 			return used, err
 		}
 		used += n
-		if err := s.take(line); err != nil {
+		if err := s.take(line, used < len(data)); err != nil {
 			return used, err
 		}
 		if s.conn.Ended() { // another stream has taken over
@@ -168,24 +168,25 @@
 	}
 }
 
-// take looks at one line.
-func (s *stream) take(line []byte) error {
+// take looks at one line. One that can't be read is passed over where more has come behind it, which may tell of a drain: the
+// stream is whole. Else it is asked for once more.
+func (s *stream) take(line []byte, more bool) error {
 	f := s.f
 	if s.skipping {
 		s.skipping = false
-		f.passOver(len(line))
+		s.passOver(len(line))
 		return nil
 	}
 	ev, err := feed.Decode(line)
 	if err != nil {
-		if !f.comesAgain(line) {
+		if !more && !f.comesAgain(line) {
 			return err
 		}
-		f.passOver(len(line))
+		s.passOver(len(line))
 		return nil
 	}
 	before := f.last
-	if err := f.take(ev); err != nil {
+	if err := s.event(ev); err != nil {
 		return err
 	}
 	s.whole, f.heard = f.p.loop.Now(), f.p.loop.Now()
@@ -200,13 +201,14 @@
 	if f.unreadable.after == f.last && bytes.Equal(f.unreadable.text, line) {
 		return true
 	}
-	f.unreadable = unreadableLine{text: bytes.Clone(line), after: f.last, over: f.unreadable.over}
+	f.unreadable = unreadableLine{text: bytes.Clone(line), after: f.last}
 	return false
 }
 
 // passOver leaves out a line that can't be read: the events behind it are taken all the same.
-func (f *follower) passOver(size int) {
-	f.unreadable.over++
+func (s *stream) passOver(size int) {
+	f := s.f
+	s.over++
 	f.p.unreadable++
 	f.p.log.Error("coordinator's line can't be read and is passed over", "event", f.last, "bytes", size)
 }
@@ -221,16 +223,17 @@
 	}
 }
 
-// take passes on the next event in order. Repeats are dropped; a gap means that the stream must be followed
+// event passes on the next event in order. Repeats are dropped; a gap means that the stream must be followed
 // anew from the last event taken.
-func (f *follower) take(ev feed.Event) error {
-	most := f.last + f.unreadable.over
+func (s *stream) event(ev feed.Event) error {
+	f := s.f
+	most := f.last + s.over
 	if !ev.Tick() {
 		most++
 	}
 	switch place := (gap{f.last, ev.Index}); {
 	case ev.Tick() && ev.Index == f.last: // what could not be read was no event
-		f.unreadable.over = 0
+		s.over = 0
 		return nil
 	case ev.Index <= f.last:
 		return nil
@@ -243,7 +246,7 @@
 		f.p.unreadable++
 		f.p.log.Error("events are missing for good", "after", f.last, "before", ev.Index)
 	}
-	f.last, f.unreadable.over = ev.Index, 0
+	f.last, s.over = ev.Index, 0
 	f.p.applyEvent(ev)
 	return nil
 }
