--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -148,7 +148,8 @@
 		return nil
 	}
 	d.made++
-	c := &connection{d: d, conn: conn, number: d.made, life: life, open: map[uint16]*Request{}, done: map[uint16]*Request{}, texts: map[uint16][]byte{}, used: d.h.Now()}
+	c := &connection{d: d, conn: conn, number: d.made, life: life,
+		open: map[uint16]*Request{}, done: map[uint16]*Request{}, texts: map[uint16][]byte{}, used: d.h.Now()}
 	go c.read()
 	return c
 }
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -175,7 +175,8 @@
 				continue
 			}
 			if told := o.told(e, q); c.First > told+o.h.Limits.PurgeGrace+socketSlack+machineSlack {
-				o.report("purged copy", c.First, []string{q.ID, c.Server, q.Object, proxyName(q.Proxy)}, "request %s was sent %.3f after it was told of a purge, and served from a copy %v older",
+				words := []string{q.ID, c.Server, q.Object, proxyName(q.Proxy)}
+				o.report("purged copy", c.First, words, "request %s was sent %.3f after it was told of a purge, and served from a copy %v older",
 					q.ID, (c.First - told).Seconds(), e.Moment.Sub(c.Made))
 			}
 		}
@@ -194,14 +195,16 @@
 	}
 	words := []string{c.ID, c.Server, proxyName(q.Proxy)}
 	if q.Left != 0 && c.First > q.Left+leftGrace+machineSlack {
-		o.report("begun after left", c.First, words, "request %s began at %s %.3f after its client had left", c.ID, c.Server, (c.First - q.Left).Seconds())
+		o.report("begun after left", c.First, words, "request %s began at %s %.3f after its client had left",
+			c.ID, c.Server, (c.First - q.Left).Seconds())
 	}
 	if left := q.Sent + q.Wait - c.Whole; q.Sent != 0 && c.Wait > left+waitSlack+machineSlack {
 		o.report("deadline", c.Whole, words, "request %s passes on %v when its client has %v left", c.ID, c.Wait, left)
 	}
 	for _, server := range []string{c.Server, c.Source} {
 		if since, leaving := o.leavingSince(server, q, c.First); leaving && c.First > since+o.h.Limits.DrainGrace+socketSlack+machineSlack {
-			o.report("drain", c.First, words, "request %s went to or named %s %.3f after its proxy was told that it leaves", c.ID, server, (c.First - since).Seconds())
+			o.report("drain", c.First, words, "request %s went to or named %s %.3f after its proxy was told that it leaves",
+				c.ID, server, (c.First - since).Seconds())
 		}
 	}
 }
