Soak: time calls by their arrival, and take off what the soak itself was held up for

The client's record was made before its ABORT_REQUEST was written, and the cache's after it had been read, in a process that shares its cores with the benches: the call went out before.

Change: a client counts as gone once its close or ABORT_REQUEST is written, a call as come when its bytes reached the system; the soak measures for how long it was held up itself, and allows that beside the fixed 150 ms.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -165,8 +165,8 @@
 	q := d.request(classRead, 1500*time.Millisecond)
 	id := c.ask(q, nil)
 	time.AfterFunc(time.Duration(d.rng.IntN(30))*time.Millisecond, func() {
+		c.write(record(2, id, "")) //nolint:errcheck // a lost connection shows in the answers
 		d.h.do(func() { q.Left = d.h.Now() })
-		c.write(record(2, id, ""))
 	})
 }
 
@@ -182,7 +182,7 @@
 	}
 	how := d.rng.IntN(3)
 	time.AfterFunc(time.Duration(d.rng.IntN(60))*time.Millisecond, func() {
-		d.h.do(func() {
+		defer d.h.do(func() {
 			for _, q := range queries {
 				q.Left = d.h.Now()
 			}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -103,6 +103,7 @@
 	mu       sync.Mutex
 	start    time.Time
 	timeline []Record
+	lags     [][2]time.Duration // spans in which this process itself was held up
 }
 
 // Limits are the figures that the configuration tells the proxies.
@@ -124,6 +125,42 @@
 // Now is the time since the start.
 func (h *History) Now() time.Duration { return time.Since(h.start) }
 
+const (
+	lagWatchers = 4
+	lagStep     = 5 * time.Millisecond
+	leastLag    = 20 * time.Millisecond
+)
+
+// watchLag notes the spans in which this process is held up: what it records then is late.
+func (h *History) watchLag(over <-chan struct{}) {
+	for range lagWatchers {
+		go func() {
+			for {
+				from := h.Now()
+				select {
+				case <-over:
+					return
+				case <-time.After(lagStep):
+				}
+				if to := h.Now(); to-from > leastLag {
+					h.do(func() { h.lags = append(h.lags, [2]time.Duration{from, to}) })
+				}
+			}
+		}()
+	}
+}
+
+// slack is what a record between two moments may be late by: a fixed part, and for how long this process was held up.
+func (h *History) slack(from, to time.Duration) time.Duration {
+	sum := machineSlack
+	for _, lag := range h.lags {
+		if lag[1] > from && lag[0] < to {
+			sum += lag[1] - lag[0]
+		}
+	}
+	return sum
+}
+
 // Note adds a line to the timeline.
 func (h *History) Note(who, format string, args ...any) {
 	h.do(func() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -243,6 +243,8 @@
 	}
 	troubles.Go(func() { r.purgeAlong(stopAsking) })
 	troubles.Go(func() { r.measure(stopAsking) })
+	defer close(r.over)
+	r.h.watchLag(r.over)
 	for _, t := range schedule {
 		troubles.Go(func() {
 			time.Sleep(max(0, t.At-r.h.Now()))
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -144,6 +146,20 @@
 	})
 }
 
+// sinceArrival is how long ago the last bytes of a connection came to this machine: they may have been read late.
+func sinceArrival(conn net.Conn) (ago time.Duration) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { //nolint:errcheck // it stays 0
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return ago
+}
+
 // heldLately says that the server did not read until just now: what it reads may have been sent before.
 func (s *server) heldLately() bool {
 	s.mu.Lock()
@@ -171,7 +187,7 @@
 		}
 		s.waitWhileHung()
 		held := s.heldLately()
-		first := s.h.Now()
+		first := s.h.Now() - sinceArrival(conn)
 		words, err := command(in)
 		if err != nil {
 			return
