Soak: what nobody could hear does not count as told

Traced: the drain was told at 12.50; the proxy was stopped from 12.42 to 14.64, the coordinator down from 14.13 to 17.04, and its next line took 6 s. No program could know of it within 7 s.

Change: the 7 s count while the coordinator told anything and the process was not stopped. TestOracle has a drain that was never told (a violation) and one that could not be heard (none).

--- a/internal/soak/coordinator.go
+++ b/internal/soak/coordinator.go
@@ -42,7 +42,8 @@
 	proxy    int
 	addr     string
 	mode     mode
-	slowed   int // the event that is brought slowly, to every follower; 0: none yet
+	changed  time.Duration // when the mode was set
+	slowed   int           // the event that is brought slowly, to every follower; 0: none yet
 	listener net.Listener
 	streams  map[net.Conn]bool
 }
@@ -84,6 +85,11 @@
 	p := c.posts[proxy]
 	before := p.mode
 	p.mode, p.slowed = m, 0
+	now := c.h.Now()
+	if before == down || before == silent {
+		c.h.do(func() { c.h.Withheld[proxy] = append(c.h.Withheld[proxy], [2]time.Duration{p.changed, now}) })
+	}
+	p.changed = now
 	if m == down && before != down {
 		p.listener.Close() //nolint:errcheck // it listens no more in any case
 		for conn := range p.streams {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -65,6 +65,8 @@
 		{"begun just after", func(h *History) { h.Requests[0].Left = 9950 * time.Millisecond }, ""},
 		{"a deadline that is too late", func(h *History) { h.Calls[0].Wait = 1400 * time.Millisecond }, "deadline"},
 		{"to a server that drains", told(Told{Group: -1, Leaving: []string{"cache"}}), "drain"},
+		{"a drain that was never told", neverTold(), "drain"},
+		{"a drain that could not be heard", neverTold([2]time.Duration{3 * time.Second, 6 * time.Second}, [2]time.Duration{5 * time.Second, 10 * time.Second}), ""},
 		{"a source that is gone", told(Told{Group: -1, Leaving: []string{"parent"}}), "drain"},
 		{"another one drains", told(Told{Group: -1, Leaving: []string{"other"}}), ""},
 		{"an older copy than a purge", func(h *History) { told(Told{Object: "x", Group: -1, Moment: h.start.Add(time.Second)})(h) }, "purged copy"},
@@ -91,6 +93,14 @@
 	}
 }
 
+// neverTold has the cache drain 8 s before it is sent something, with spans in which the coordinator told nothing.
+func neverTold(withheld ...[2]time.Duration) func(*History) {
+	return func(h *History) {
+		h.Events = append(h.Events, &Told{Index: 2, At: 2 * time.Second, Group: -1, Leaving: []string{"cache"}})
+		h.Withheld[1] = withheld
+	}
+}
+
 // keyedAgain makes the read a keyed request that is sent again after a time.
 func keyedAgain(after time.Duration) func(*History) {
 	return func(h *History) {
