--- a/policy/guard.go
+++ b/policy/guard.go
@@ -51,8 +51,8 @@
 	ReasonInUse          Reason = "in_use"
 )
 
-// Verdict says whether an action may be carried out now, and if not, which rule it would break and why. The zero
-// value allows it.
+// Verdict says whether an action may be carried out now, and if not, which rule it would break and why. The
+// zero value allows it.
 type Verdict struct {
 	Rule   Rule
 	Reason Reason
@@ -69,9 +69,9 @@
 	ClientLeft bool
 }
 
-// MaySend decides, at the last instant, whether an attempt may begin: while it waited for its connection its member
-// may have drained or started anew, its client left, or the time for repeats passed. It returns the attempt's orders
-// as of now.
+// MaySend decides, at the last instant, whether an attempt may begin: while it waited for its connection its
+// member may have drained or started anew, its client left, or the time for repeats passed. It returns the
+// attempt's orders as of now.
 func (r *Router) MaySend(now time.Duration, s Sending) (Fetch, Verdict) {
 	r.now = now
 	a := r.pendingAttempt(s.ID, s.Attempt)
@@ -131,8 +131,8 @@
 	return class.Effect == Safe || req.mayHaveRun == nil || class.Effect == Keyed && class.Scope == ScopeAll
 }
 
-// joinsColdBudget counts an attempt in the budgets of cold members that it is not counted in: they have started anew
-// since it was decided on, or it has waited for longer than the window.
+// joinsColdBudget counts an attempt in the budgets of cold members that it is not counted in: they have started
+// anew since it was decided on, or it has waited for longer than the window.
 func (r *Router) joinsColdBudget(a *attempt) bool {
 	var joins []*member
 	for _, m := range []*member{a.target, a.source} {
@@ -150,8 +150,8 @@
 	return true
 }
 
-// weighsOn reports whether an attempt counts in a member's budget: it is cold, and is the target or a parent that
-// fills.
+// weighsOn reports whether an attempt counts in a member's budget: it is cold, and is the target or a parent
+// that fills.
 func (r *Router) weighsOn(m *member, a *attempt) bool {
 	return r.warmShare(m) < 1 && (m == a.target || m.Kind == r.settings.ParentKind)
 }
