--- a/policy/guard.go
+++ b/policy/guard.go
@@ -131,8 +131,8 @@
 	return class.Effect == Safe || req.mayHaveRun == nil || class.Effect == Keyed && class.Scope == ScopeAll
 }
 
-// joinsColdBudget counts an attempt in the budgets of cold members that it is not counted in: they have started
-// anew since it was decided on, or it has waited for longer than the window.
+// joinsColdBudget counts an attempt in the budgets of cold members that it is not counted in: they have
+// started anew since it was decided on, or it has waited for longer than the window.
 func (r *Router) joinsColdBudget(a *attempt) bool {
 	var joins []*member
 	for _, m := range []*member{a.target, a.source} {
