--- a/policy/membership.go
+++ b/policy/membership.go
@@ -54,8 +54,8 @@
 	r.sortMembers()
 }
 
-// ClockCorrection says that the clock times of starts and purges that were told so far were off: each is later
-// by By.
+// ClockCorrection says that the clock times of starts and purges that were told so far were off: each is
+// later by By.
 // A purge is never moved to earlier, also where By is under 0: it must not count as older than it is.
 type ClockCorrection struct{ By time.Duration }
 
