Let the audit forget servers after a while; one name for a request's effect, no unused clock

Cause: audit.leaving had no end to an entry. A request kept both its effect and whether that is safe; Loop.Lag has had no caller since the coordinator's time bounds a purge's age.

Change: a server that left over 11 minutes ago, longer than any request may wait, is forgotten; safe is asked of the effect; Lag is gone.

--- a/internal/net/loop.go
+++ b/internal/net/loop.go
@@ -74,9 +74,6 @@
 // Fresh is the clock's time now, where that of the turn may be too old.
 func (l *Loop) Fresh() Clock { return l.clock.Now() }
 
-// Lag is for how long this turn has been going on: the clock has moved on from Now by as much.
-func (l *Loop) Lag() time.Duration { return l.clock.Now() - l.now }
-
 // Stalled is for how much longer than a nap the loop has not looked at what is ready: the process does not always have
 // its core, and what is read in this turn may have waited for as long.
 func (l *Loop) Stalled(nap time.Duration) time.Duration {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -53,7 +53,7 @@
 		p.end(a, resp.Answer{}, policy.ResultMoot)
 		return
 	}
-	slot, err := p.pools.Get(f.Target, !q.safe, func(s *net.Slot) bool { return s.Owner.(*upstream).takes(q) })
+	slot, err := p.pools.Get(f.Target, !q.safe(), func(s *net.Slot) bool { return s.Owner.(*upstream).takes(q) })
 	if err != nil {
 		p.end(a, resp.Answer{}, connectResult(err))
 		return
--- a/internal/proxy/audit.go
+++ b/internal/proxy/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -16,6 +17,8 @@
 	auditSlack = 50 * time.Millisecond
 	// drainGrace is how long after a server was told to leave it may be sent something, where the settings tell nothing.
 	drainGrace = 500 * time.Millisecond
+	// leavingMemory is for how long a server that has been told to leave is looked out for: no request lives as long.
+	leavingMemory = 11 * time.Minute
 	// leftGrace is how long after its client has left an attempt may begin.
 	leftGrace = 100 * time.Millisecond
 )
@@ -77,6 +80,7 @@
 	if ev.Endpoints == nil {
 		return
 	}
+	maps.DeleteFunc(u.leaving, func(_ string, since net.Clock) bool { return now-since > leavingMemory })
 	if ev.Endpoints.Full {
 		for id := range u.p.servers {
 			u.leave(id, now)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,7 +93,6 @@
 	number     int64 // the module's
 	to         Responder
 	deadline   net.Clock // by which the answer must have been written
-	safe       bool      // it may be repeated
 	effect     policy.Effect
 	answers    int  // final answers so far, as the audit counts
 	mayHaveRun bool // a call was written whole and not proven not to have run, as the audit knows
@@ -104,6 +103,9 @@
 	finished   bool // answered, or the client has left
 }
 
+// safe says that the request may be repeated freely.
+func (q *request) safe() bool { return q.effect == policy.Safe }
+
 // New returns a proxy that knows what the configuration knows.
 func New(loop *net.Loop, cfg Config, logger *slog.Logger) *Proxy {
 	p := &Proxy{
@@ -261,7 +263,6 @@
 	now := p.loop.Now()
 	q := &request{Request: in, number: p.lastID, to: to, deadline: now + in.Wait - min(answerTime, in.Wait/answerPart),
 		effect: p.set.Policy.Classes[in.Class].Effect}
-	q.safe = q.effect == policy.Safe
 	if p.phase == Stopping {
 		q.deadline = max(now, min(q.deadline, p.endBy))
 	}
@@ -301,7 +302,7 @@
 	}
 	status := Refused
 	for _, a := range q.attempts {
-		if a.started && !q.safe { // it may have run
+		if a.started && !q.safe() { // it may have run
 			status = Failed
 		}
 	}
