--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -195,14 +195,21 @@
 
 func (r *run) servers() []*server { return append(slices.Clone(r.caches), r.parent, r.origin) }
 
-// freeAddr finds a port of a host that nothing uses.
+// given are the addresses that freeAddr has handed out: the system may offer one again before it is opened.
+var given sync.Map
+
+// freeAddr finds a port of a host that nothing uses, and that was not handed out before.
 func freeAddr(host string) string {
-	ln, err := net.Listen("tcp", host)
-	if err != nil {
-		return ""
+	for {
+		ln, err := net.Listen("tcp", host)
+		if err != nil {
+			return ""
+		}
+		ln.Close() //nolint:errcheck // it listens no more in any case
+		if _, taken := given.LoadOrStore(ln.Addr().String(), true); !taken {
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 // relayTo puts a relay before every second cache, which breaks some connections by the seed.
--- /dev/null
+++ b/internal/soak/run_test.go
@@ -0,0 +1,16 @@
+package soak
+
+import "testing"
+
+// No address is handed out twice: the system may offer one again, as it is free until a program opens it.
+func TestAddressesAreGivenOnce(t *testing.T) {
+	const draws = 3000
+	seen := map[string]bool{}
+	for range draws {
+		addr := freeAddr("127.77.77.77:0")
+		if addr == "" || seen[addr] {
+			t.Fatalf("%q after %d", addr, len(seen))
+		}
+		seen[addr] = true
+	}
+}
