Watch: open further streams beside stalled ones in place of doubling their timeouts

Cause: each stalled stream doubled the connect, silence and line timeouts of the next.

When every open stream is stalled another is opened beside them, the first three 1.25 s after one another, later ones up to 5 s apart. A stream that is in the middle of a line stays, two of them at most, so a slow list arrives on its first stream.

--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -16,23 +16,36 @@
 )
 
 const (
-	// watchConnectTimeout is how long a connect to the coordinator may take.
+	// watchConnectTimeout is how long a connect to the coordinator may take before another stream is opened.
 	watchConnectTimeout = 500 * time.Millisecond
 	// silenceTimeout is how long a stream may receive nothing. The coordinator sends a heartbeat every
 	// second.
 	silenceTimeout = 2500 * time.Millisecond
 	// lineTimeout is how long a stream may receive no complete line, while a long list arrives in pieces for
-	// example. After 7 s a drain must be heeded whether its event has arrived or not, so a second stream has
-	// to be opened well before that.
-	lineTimeout = 4 * time.Second
-	// maxTimeoutDoublings bounds the growth of these three timeouts, which double with each consecutive
-	// failure: what always takes longer than a fixed timeout would never arrive.
-	maxTimeoutDoublings = 3
-	// streamCheckInterval is the time between checks of the streams for these timeouts.
+	// example.
+	lineTimeout = 3500 * time.Millisecond
+	// maxLineTime is how long a stream that goes on receiving pieces of a line is kept.
+	maxLineTime = 32 * time.Second
+	// streamCheckInterval is the longest time between checks of the streams for these timeouts.
 	streamCheckInterval = silenceTimeout / 10
+	// minStreamCheckInterval is the shortest.
+	minStreamCheckInterval = 50 * time.Millisecond
+
+	// quickReplacements is how many streams in a row are opened quickRetryTimeout after the one before has
+	// stalled. After 7 s a drain must be heeded whether its event has arrived or not: lineTimeout and as many
+	// retries have to end well before that.
+	quickReplacements = 3
+	// quickRetryTimeout is how long such a stream may take for its first line: a heartbeat comes within a
+	// second.
+	quickRetryTimeout = 1250 * time.Millisecond
+	// maxRetryTimeout bounds that time, which doubles with each further stall.
+	maxRetryTimeout = 4 * quickRetryTimeout
 
 	// maxWatchStreams is how many streams may be open at once.
-	maxWatchStreams = 2
+	maxWatchStreams = 4
+	// maxReceivingStreams is how many of them may be in the middle of a line, as each makes a slow coordinator
+	// slower.
+	maxReceivingStreams = 2
 
 	// minReconnectBackoff is the pause before the first reconnect after an outage has begun. It doubles with
 	// each further one.
@@ -57,21 +70,23 @@
 
 // coordinatorWatch receives the coordinator's events: the endpoint list, its changes, and purges.
 //
-// Normally one stream is open. A second one is opened when no complete line has arrived on the first for too
-// long; the first stays open, as it may still complete a long line. When both are stalled, the one whose last
-// complete line is older is replaced. The first stream that brings a complete line again closes the other
-// (see closeOthers). When no stream is left, the watch reconnects after a backoff.
+// Normally one stream is open. When no complete line has arrived on it for too long it is stalled, and another
+// one is opened beside it: the first may still complete a long line, and a new one may bring at once what the
+// first never will. When all that are open are stalled, one more is opened, up to maxWatchStreams; then one is
+// replaced (see makeRoom). The first stream that brings a complete line again closes the others (see
+// closeOthers). When a stream ends and no other one is healthy, the watch reconnects after a backoff.
 type coordinatorWatch struct {
 	handler watchHandler
 	loop    *eventloop.Loop
 	log     *slog.Logger
 	rng     *rand.Rand // for the backoff
 
-	addr                netip.AddrPort
-	streams             []*watchStream // the oldest first
-	consecutiveFailures int            // streams since the last complete line that exceeded a timeout
-	reconnectTimer      *eventloop.Timer
-	backoff             time.Duration // before the next reconnect
+	addr           netip.AddrPort
+	streams        []*watchStream // the oldest first
+	streamsOpened  int            // so far: the number of the last stream
+	stalls         int            // since the last complete line: how often all streams were stalled
+	reconnectTimer *eventloop.Timer
+	backoff        time.Duration // before the next reconnect
 
 	lastIndex          int64               // index of the last event that was passed on
 	lastReadableLineAt eventloop.Timestamp // when the last complete line arrived on any stream, or the watch began
@@ -104,8 +119,9 @@
 	}
 	w.addr = addr
 	w.backoff = minReconnectBackoff
-	w.consecutiveFailures = 0
+	w.stalls = 0
 	w.loop.Stop(w.reconnectTimer)
+	w.reconnectTimer = nil
 	for _, s := range w.streams {
 		s.conn.Close()
 	}
@@ -124,14 +140,10 @@
 
 // openStream opens one more stream.
 func (w *coordinatorWatch) openStream() {
-	factor := time.Duration(1) << min(w.consecutiveFailures, maxTimeoutDoublings)
-	s := &watchStream{
-		owner:              w,
-		lastReadableLineAt: w.loop.Now(),
-		silenceTimeout:     silenceTimeout * factor,
-		lineTimeout:        lineTimeout * factor,
-	}
-	conn, err := w.loop.Dial(w.addr, min(watchConnectTimeout*factor, silenceTimeout), s)
+	w.makeRoom()
+	w.streamsOpened++
+	s := newWatchStream(w)
+	conn, err := w.loop.Dial(w.addr, silenceTimeout, s)
 	if err != nil {
 		w.scheduleReconnect(err)
 		return
@@ -141,25 +153,69 @@
 	conn.Write(watch.AppendFollow(w.lastIndex))
 }
 
-// checkStreams opens a stream when all that are open are stalled, and closes one for it where there are too
-// many. While none is open, a reconnect is scheduled already.
+// checkStreams opens a stream when all that are open are stalled. While none is open, a reconnect is scheduled
+// already.
 func (w *coordinatorWatch) checkStreams() {
-	if len(w.streams) > 0 && !slices.ContainsFunc(w.streams, func(s *watchStream) bool { return !s.isStalled() }) {
-		w.replaceStalled()
+	if len(w.streams) > 0 && !w.hasHealthyStream() {
+		w.log.Warn("coordinator watch stalled, opening another stream",
+			"event", w.lastIndex, "streams", len(w.streams), "stream", w.streamsOpened+1)
+		w.stalls++
+		w.openStream()
 	}
-	w.loop.At(w.loop.Now()+streamCheckInterval, w.checkStreams)
+	w.loop.At(w.loop.Now()+w.nextStreamCheck(), w.checkStreams)
 }
 
-// replaceStalled opens a stream beside a stalled one, or instead of the older of two.
-func (w *coordinatorWatch) replaceStalled() {
-	if len(w.streams) < maxWatchStreams {
-		w.log.Warn("coordinator watch stalled, opening a second stream", "event", w.lastIndex)
-	} else {
-		byLastLine := func(a, b *watchStream) int { return int(a.lastReadableLineAt - b.lastReadableLineAt) }
-		w.closeStream(slices.MinFunc(w.streams, byLastLine))
+// nextStreamCheck is the time until the streams have to be checked again.
+func (w *coordinatorWatch) nextStreamCheck() time.Duration {
+	next := time.Duration(0)
+	for _, s := range w.streams {
+		next = max(next, s.stalledAt()-w.loop.Now())
+	}
+	return min(max(next, minStreamCheckInterval), streamCheckInterval)
+}
+
+// hasHealthyStream reports whether a stream is open that is not stalled.
+func (w *coordinatorWatch) hasHealthyStream() bool {
+	return slices.ContainsFunc(w.streams, func(s *watchStream) bool { return !s.isStalled() })
+}
+
+// retryTimeout is how long a new stream may take for its first line after all others have stalled.
+func (w *coordinatorWatch) retryTimeout() time.Duration {
+	doublings := max(0, w.stalls-quickReplacements)
+	return min(quickRetryTimeout<<min(doublings, quickReplacements), maxRetryTimeout)
+}
+
+// makeRoom closes streams until one more may be opened. Of those that are in the middle of a line, the one that
+// has received most of it stays; after it, the newer ones do.
+func (w *coordinatorWatch) makeRoom() {
+	kept := w.mostAdvancedStream()
+	receiving := 0
+	for _, s := range w.streams {
+		if s.isReceiving() {
+			receiving++
+		}
+	}
+	for _, s := range slices.Clone(w.streams) {
+		tooManyReceive := receiving >= maxReceivingStreams && s.isReceiving()
+		if s != kept && (tooManyReceive || len(w.streams) >= maxWatchStreams) {
+			w.closeStream(s)
+		}
 	}
-	w.consecutiveFailures++
-	w.openStream()
+}
+
+// mostAdvancedStream is the stream that has received most of a line, unless it has taken maxLineTime; nil: none
+// is in the middle of one.
+func (w *coordinatorWatch) mostAdvancedStream() *watchStream {
+	var most *watchStream
+	for _, s := range w.streams {
+		if !s.isReceiving() || w.loop.Now()-s.lastReadableLineAt > maxLineTime {
+			continue
+		}
+		if most == nil || s.conn.UnparsedBytes() > most.conn.UnparsedBytes() {
+			most = s
+		}
+	}
+	return most
 }
 
 // closeStream closes and removes a stream.
@@ -181,17 +237,18 @@
 		if other == s {
 			continue
 		}
-		if newEvent || other.conn.UnparsedBytes() == 0 || other.conn.Age() > lineTimeout<<maxTimeoutDoublings {
+		tookTooLong := w.loop.Now()-other.lastReadableLineAt > maxLineTime
+		if newEvent || other.conn.UnparsedBytes() == 0 || tookTooLong {
 			w.closeStream(other)
 		}
 	}
 }
 
-// recordLine notes that a complete line has arrived, which ends a series of failures.
+// recordLine notes that a complete line has arrived, which ends a series of stalls.
 func (w *coordinatorWatch) recordLine() {
 	w.lastReadableLineAt = w.loop.Now()
 	w.backoff = minReconnectBackoff
-	w.consecutiveFailures = 0
+	w.stalls = 0
 }
 
 // isRepeatedUnreadable reports whether a line that can't be decoded came last time at the same place too, and
@@ -213,18 +270,26 @@
 	return false
 }
 
-// scheduleReconnect opens a stream after the backoff, unless another one is open.
+// scheduleReconnect opens a stream after the backoff, unless a healthy one is open.
 func (w *coordinatorWatch) scheduleReconnect(err error) {
-	if len(w.streams) > 0 {
+	if w.reconnectTimer != nil || w.hasHealthyStream() {
 		return
 	}
 	if w.backoff == minReconnectBackoff { // once for each outage
 		w.log.Warn("coordinator watch lost, reconnecting", "error", err, "event", w.lastIndex)
 	}
-	w.reconnectTimer = w.loop.At(w.loop.Now()+jitteredBackoff(w.backoff, w.rng), w.openStream)
+	w.reconnectTimer = w.loop.At(w.loop.Now()+jitteredBackoff(w.backoff, w.rng), w.reconnect)
 	w.backoff = min(2*w.backoff, maxReconnectBackoff)
 }
 
+// reconnect opens a stream, unless a healthy one is open by now.
+func (w *coordinatorWatch) reconnect() {
+	w.reconnectTimer = nil
+	if !w.hasHealthyStream() {
+		w.openStream()
+	}
+}
+
 // jitteredBackoff draws a pause between half of backoff and all of it. All processes of a fleet lose a
 // coordinator at the same time: with equal pauses they would reconnect at the same time too.
 func jitteredBackoff(backoff time.Duration, rng *rand.Rand) time.Duration {
--- /dev/null
+++ b/internal/proxy/watchstalls_test.go
@@ -0,0 +1,106 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// drainEvent is the line of an event that a coordinator brings; %d is its index.
+const drainEvent = `{"index":%d,"endpoints":{"version":2,"full":false,"servers":[{"id":"c1","state":"DRAINING"}]}}`
+
+// Guards against a drain that one process did not know for 13 s, as its timeouts doubled with each bad stream: an
+// event is taken within the page's 7 s whatever three streams in a row do instead of bringing it.
+func TestEventTakenAfterThreeBadStreams(t *testing.T) {
+	for first, firstScript := range brokenStreams() {
+		for second, secondScript := range brokenStreams() {
+			for third, thirdScript := range brokenStreams() {
+				scripts := []func() streamScript{firstScript, secondScript, thirdScript}
+				p := newWatchPlay(t, func(number int) streamScript {
+					if number < len(scripts) {
+						return scripts[number]()
+					}
+					return bringAll
+				})
+				p.run(2 * time.Second) // a healthy stream so far
+				p.publish(drainEvent)
+				took := p.runUntil(2, 60*time.Second)
+				if took >= reportLimit {
+					t.Errorf("%s, %s, %s: the event was taken after %v", first, second, third, took)
+				}
+				p.close()
+			}
+		}
+	}
+}
+
+// Guards against a list that never arrives as its streams are given up: a line that comes steadily for 6 s arrives
+// on the stream that has begun it, at the price of less than one list more.
+func TestSteadyListArrivesOnTheFirstStream(t *testing.T) {
+	const lineTime = 6 * time.Second
+	p := newWatchPlay(t, func(int) streamScript { return bringSteadily(lineTime) })
+	p.run(2 * time.Second)
+	list := `{"index":%d,"endpoints":{"version":2,"full":true,"servers":[` + strings.Repeat(" ", 100_000) + `]}}`
+	p.publish(list)
+	took := p.runUntil(2, 60*time.Second)
+	if took > lineTime {
+		t.Errorf("taken after %v", took)
+	}
+	if sent := p.bytesSent(); sent > 2*len(list) {
+		t.Errorf("%d bytes were sent of a list of %d", sent, len(list))
+	}
+}
+
+// Guards against a slow coordinator that is asked so often that it gets slower: while a list takes 20 s, at most two
+// streams bring it at any time, and it arrives on the first of them.
+func TestSlowCoordinatorIsNotFlooded(t *testing.T) {
+	const lineTime = 20 * time.Second
+	p := newWatchPlay(t, func(int) streamScript { return bringSteadily(lineTime) })
+	p.run(2 * time.Second)
+	list := `{"index":%d,"endpoints":{"version":2,"full":true,"servers":[` + strings.Repeat(" ", 100_000) + `]}}`
+	p.publish(list)
+	took := p.runUntil(2, 60*time.Second)
+	if took > lineTime+playStep {
+		t.Errorf("taken after %v", took)
+	}
+	if sent := p.bytesSent(); sent > 2*len(list) {
+		t.Errorf("%d bytes were sent of a list of %d", sent, len(list))
+	}
+}
+
+// Guards against a coordinator that hangs and is asked more and more often: over a minute in which it brings
+// nothing, there is less than one stream a second, and one again within the page's 7 s once it is back.
+func TestSilentCoordinatorIsAskedSparingly(t *testing.T) {
+	const outage = time.Minute
+	hanging := true
+	p := newWatchPlay(t, func(int) streamScript {
+		if hanging {
+			return func(*playedStream) {}
+		}
+		return bringAll
+	})
+	p.run(outage)
+	if streams := len(p.streams); streams > int(outage/time.Second) {
+		t.Errorf("%d streams in %v", streams, outage)
+	}
+	hanging = false
+	p.publish(drainEvent)
+	if took := p.runUntil(2, 60*time.Second); took >= reportLimit {
+		t.Errorf("taken after %v", took)
+	}
+}
+
+// Guards against an index that is lost where streams overlap: each event is passed on once and in order while
+// several streams bring the same ones.
+func TestOverlappingStreamsKeepTheOrder(t *testing.T) {
+	p := newWatchPlay(t, func(number int) streamScript { return bringSteadily(time.Duration(6-number) * time.Second) })
+	p.run(2 * time.Second)
+	for range 5 {
+		p.publish(drainEvent)
+	}
+	p.runUntil(6, 2*time.Minute)
+	if got := fmt.Sprint(p.taken.indices); got != "[2 3 4 5 6]" {
+		t.Errorf("taken: %s", got)
+	}
+}
--- a/internal/proxy/watchstream.go
+++ b/internal/proxy/watchstream.go
@@ -19,18 +19,44 @@
 	owner              *coordinatorWatch
 	conn               *eventloop.Conn
 	lastReadableLineAt eventloop.Timestamp // when the last complete line arrived, or the stream was opened
-	silenceTimeout     time.Duration       // how long it may receive nothing
+	connectTimeout     time.Duration       // how long its connect may take
 	lineTimeout        time.Duration       // how long it may receive no complete line
 	discardingLine     bool                // the line that is arriving is too long; its rest is discarded
 	skippedLines       int64               // lines skipped since the last event, each of which may have been an event
 }
 
-// isStalled reports whether the stream is silent, as after a network partition, or has not completed a line
-// for too long.
-func (s *watchStream) isStalled() bool {
-	now := s.owner.loop.Now()
+// newWatchStream returns a stream that is yet to be connected. While others are stalled, it has to bring its first
+// line within the retry timeout.
+func newWatchStream(w *coordinatorWatch) *watchStream {
+	s := &watchStream{
+		owner:              w,
+		lastReadableLineAt: w.loop.Now(),
+		connectTimeout:     watchConnectTimeout,
+		lineTimeout:        lineTimeout,
+	}
+	if w.stalls > 0 {
+		s.connectTimeout = w.retryTimeout()
+		s.lineTimeout = w.retryTimeout()
+	}
+	return s
+}
+
+// stalledAt is when the stream counts as stalled if nothing more arrives: it is silent, as after a network
+// partition, or has not completed a line for too long.
+func (s *watchStream) stalledAt() eventloop.Timestamp {
+	if !s.conn.Connected() {
+		return s.lastReadableLineAt + s.connectTimeout
+	}
 	lastInput := max(s.conn.LastReceived(), s.lastReadableLineAt)
-	return now-lastInput > s.silenceTimeout || now-s.lastReadableLineAt > s.lineTimeout
+	return min(lastInput+silenceTimeout, s.lastReadableLineAt+s.lineTimeout)
+}
+
+// isStalled reports whether that time has come.
+func (s *watchStream) isStalled() bool { return s.owner.loop.Now() >= s.stalledAt() }
+
+// isReceiving reports whether the stream is in the middle of a line and not silent.
+func (s *watchStream) isReceiving() bool {
+	return s.conn.UnparsedBytes() > 0 && s.owner.loop.Now()-s.conn.LastReceived() < silenceTimeout
 }
 
 // Receive handles the complete lines in data.
@@ -79,7 +105,6 @@
 		return err
 	}
 	s.lastReadableLineAt = s.owner.loop.Now()
-	s.silenceTimeout = silenceTimeout
 	s.lineTimeout = lineTimeout
 	s.owner.recordLine()
 	s.owner.closeOthers(s, s.owner.lastIndex > lastIndex)
@@ -131,12 +156,8 @@
 	return highest + 1
 }
 
-// Closed reconnects unless another stream is open. Only a connect that timed out counts as a failure that
-// lengthens the timeouts: a refused one doesn't show how long a connect takes.
+// Closed reconnects unless another stream is healthy.
 func (s *watchStream) Closed(err error) {
 	s.owner.removeStream(s)
-	if errors.Is(err, eventloop.ErrConnectTimeout) {
-		s.owner.consecutiveFailures++
-	}
 	s.owner.scheduleReconnect(err)
 }
--- a/internal/proxy/watchstream_test.go
+++ b/internal/proxy/watchstream_test.go
@@ -16,6 +16,10 @@
 }
 
 func (r *recordedEvents) applyEvent(ev watch.Event) { r.indices = append(r.indices, ev.Index) }
+
+// has reports whether the event with an index has been passed on.
+func (r *recordedEvents) has(index int64) bool { return slices.Contains(r.indices, index) }
+
 func (r *recordedEvents) countUnreadable(parts int) { r.unreadable += parts }
 
 // Events are passed on in order and once. A gap closes the stream the first time, and is skipped the second
