Watch: request events again that were passed over, and apply them late

Cause: a line that can't be decoded (handleLine), and a gap that is there twice (handleEvent), raised lastIndex over the missing events. The next follow asked only for later ones, and a late event counted as a repeat.

A late event is applied, except where newer events or a newer full list name the same endpoints.

Evidence: TestSpoiltDrainIsRequestedAgain failed before ('no answer' to the wait for a second follow, 20 s). TestEventOrder's watch has got a loop, as passing over sets a timer; its cases are as before.

Measured: tests of internal/proxy, and the coordinator's tests of cmd/edgeproxy three times, pass.

--- a/cmd/edgeproxy/coordinator_test.go
+++ b/cmd/edgeproxy/coordinator_test.go
@@ -365,3 +365,30 @@
 		t.Errorf("%d calls to the cache that drains, %d reconnects", len(env.cache.calls), len(env.followLines))
 	}
 }
+
+// TestSpoiltDrainIsRequestedAgain guards against a drain that is lost for good: its line was spoilt once in the
+// middle of the input, and was never requested again. It takes effect although newer events were taken before it.
+func TestSpoiltDrainIsRequestedAgain(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	text, err := json.Marshal(endpointEvent(2, false, endpoint("c1", "std", "edge", "DRAINING", env.cache.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	drain := string(text)
+	behind, err := json.Marshal(endpointEvent(3, false, endpoint("c2", "std", "edge", "SERVING", second.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	env.sendEvent(drain[:len(drain)/2] + drain + "\n" + string(behind))
+	env.eventually("the event behind it is taken", func() bool { return env.metric("svc_registry_entries") == 3 })
+	got := receive(t, env.followLines, "follow again")
+	if got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+	env.sendEvent(drain)
+	env.awaitEventsTaken()
+	env.servedOnlyBy("second")
+}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -66,6 +67,30 @@
 	t.notify(decoded)
 }
 
+// withoutSuperseded returns what a late update still changes, without the endpoints for which newer updates say
+// what holds. A full list becomes a list of changes: the endpoints that it leaves out are removed by name.
+func (t *endpointTable) withoutSuperseded(
+	late *watch.EndpointUpdate, superseded func(endpoint string) bool,
+) *watch.EndpointUpdate {
+	changes := &watch.EndpointUpdate{}
+	named := map[string]bool{}
+	for _, entry := range late.Endpoints {
+		named[entry.ID] = true
+		if !superseded(entry.ID) {
+			changes.Endpoints = append(changes.Endpoints, entry)
+		}
+	}
+	if !late.Full {
+		return changes
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.startMillis)) {
+		if !named[id] && !superseded(id) {
+			changes.Endpoints = append(changes.Endpoints, watch.Endpoint{ID: id, State: watch.StateDeleted})
+		}
+	}
+	return changes
+}
+
 // applyEntry decodes one endpoint and passes its address to the pools. One that can't be decoded counts as
 // removed, as it can't be used, and as the entry may have said that it is draining.
 func (t *endpointTable) applyEntry(entry watch.Endpoint, fullList bool) policy.Endpoint {
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -55,8 +55,13 @@
 	maxReconnectBackoff = 400 * time.Millisecond
 )
 
-// errEventGap closes a stream on which events are missing.
-var errEventGap = errors.New("events are missing")
+var (
+	// errEventGap closes a stream on which events are missing.
+	errEventGap = errors.New("events are missing")
+	// errRecoveryEnded is the reason of a reconnect after the last stream was one that was opened for missing
+	// events.
+	errRecoveryEnded = errors.New("missing events were given up")
+)
 
 // watchHandler is what the watch needs of the proxy. Its methods are called on the loop's goroutine and must
 // not block.
@@ -64,6 +69,9 @@
 	// applyEvent takes the next event. Each is passed on once, in the order of their indices; some may be
 	// left out.
 	applyEvent(ev watch.Event)
+	// applyLateEvent takes an event that was left out before. superseded reports whether newer events, which
+	// have been passed on already, say what holds for an endpoint.
+	applyLateEvent(ev watch.Event, superseded func(endpoint string) bool)
 	// countUnreadable counts lines or events that were skipped.
 	countUnreadable(parts int)
 }
@@ -92,6 +100,9 @@
 	lastReadableLineAt eventloop.Timestamp // when the last complete line arrived on any stream, or the watch began
 	lastUnreadable     unreadableLine
 	lastGap            eventGap
+
+	missing       missingEvents
+	recoveryTimer *eventloop.Timer // requests them again
 }
 
 // eventGap is a place at which events are missing: those between the two indices.
@@ -138,11 +149,16 @@
 	return int((w.loop.Now() - w.lastReadableLineAt).Milliseconds())
 }
 
-// openStream opens one more stream.
-func (w *coordinatorWatch) openStream() {
+// openStream opens one more stream for all events after the last.
+func (w *coordinatorWatch) openStream() { w.openStreamAfter(w.lastIndex, false) }
+
+// openStreamAfter opens one more stream for all events after the one with the index. recovering says that it is
+// opened for missing events.
+func (w *coordinatorWatch) openStreamAfter(index int64, recovering bool) {
 	w.makeRoom()
 	w.streamsOpened++
 	s := newWatchStream(w)
+	s.recovering = recovering
 	conn, err := w.loop.Dial(w.addr, silenceTimeout, s)
 	if err != nil {
 		w.scheduleReconnect(err)
@@ -150,7 +166,7 @@
 	}
 	s.conn = conn
 	w.streams = append(w.streams, s)
-	conn.Write(watch.AppendFollow(w.lastIndex))
+	conn.Write(watch.AppendFollow(index))
 }
 
 // checkStreams opens a stream when all that are open are stalled. While none is open, a reconnect is scheduled
@@ -231,10 +247,13 @@
 
 // closeOthers closes other streams after s has brought a complete line. If the line was a new event, all are
 // closed. Otherwise one that is in the middle of a line may bring an event that s never will, and stays for
-// as long as a line may take.
+// as long as a line may take. A stream for missing events stays, and closes no others until it has caught up.
 func (w *coordinatorWatch) closeOthers(s *watchStream, newEvent bool) {
+	if s.recovering {
+		return
+	}
 	for _, other := range slices.Clone(w.streams) {
-		if other == s {
+		if other == s || other.recovering {
 			continue
 		}
 		tookTooLong := w.loop.Now()-other.lastReadableLineAt > maxLineTime
--- a/internal/proxy/watchevents.go
+++ b/internal/proxy/watchevents.go
@@ -42,6 +42,14 @@
 // applyEvent implements watchHandler.
 func (p *Proxy) applyEvent(ev watch.Event) { p.takeEvent(ev, true) }
 
+// applyLateEvent implements watchHandler.
+func (p *Proxy) applyLateEvent(ev watch.Event, superseded func(endpoint string) bool) {
+	if ev.Endpoints != nil {
+		ev.Endpoints = p.endpoints.withoutSuperseded(ev.Endpoints, superseded)
+	}
+	p.takeEvent(ev, false)
+}
+
 // countUnreadable implements watchHandler.
 func (p *Proxy) countUnreadable(parts int) { p.counters.unreadableParts += parts }
 
--- a/internal/proxy/watchplay_test.go
+++ b/internal/proxy/watchplay_test.go
@@ -260,6 +260,22 @@
 	}
 }
 
+// spoiling returns a script that is healthy but for the line of one event, in place of which it writes another
+// text.
+func spoiling(index int, text string) streamScript {
+	return func(s *playedStream) {
+		for s.sent < len(s.play.lines) && !s.closed {
+			line := s.nextLine()
+			if s.sent+1 == index {
+				line = text
+			}
+			s.write(line)
+			s.sent++
+		}
+		bringAll(s)
+	}
+}
+
 // brokenStreams are the ways in which a stream fails to bring an event.
 func brokenStreams() map[string]func() streamScript {
 	halfLine := func(s *playedStream) {
--- a/internal/proxy/watchstream.go
+++ b/internal/proxy/watchstream.go
@@ -13,8 +13,9 @@
 // watchStream is one connection to the coordinator. It decodes lines and passes on the events that are next
 // in order.
 //
-// What can't be decoded, or is missing, is requested once more on a new stream, from the last event that was
-// passed on. When it is the same then, it is skipped and counted: another request would bring the same.
+// What can't be decoded, or is missing, must not hold up what follows: it is skipped and counted, and requested
+// again beside it (see coordinatorWatch.passOver). Where nothing follows it yet, it is requested once more before
+// it is skipped, from the last event that was passed on.
 type watchStream struct {
 	owner              *coordinatorWatch
 	conn               *eventloop.Conn
@@ -23,6 +24,7 @@
 	lineTimeout        time.Duration       // how long it may receive no complete line
 	discardingLine     bool                // the line that is arriving is too long; its rest is discarded
 	skippedLines       int64               // lines skipped since the last event, each of which may have been an event
+	recovering         bool                // opened for missing events, and has not brought the last event yet
 }
 
 // newWatchStream returns a stream that is yet to be connected. While others are stalled, it has to bring its first
@@ -104,6 +106,9 @@
 	if err != nil {
 		return err
 	}
+	if ev.Index >= lastIndex {
+		s.recovering = false
+	}
 	s.lastReadableLineAt = s.owner.loop.Now()
 	s.lineTimeout = lineTimeout
 	s.owner.recordLine()
@@ -119,17 +124,17 @@
 		"event", s.owner.lastIndex, "bytes", sizeBytes)
 }
 
-// handleEvent passes on an event if it is next in order; events up to lastIndex are repeats and are dropped.
-// A gap closes the stream. A gap that is there again on the next stream is skipped once an event behind it
-// arrives; a heartbeat alone does not skip it, as the missing events may still come.
+// handleEvent passes on an event if it is next in order, or was missing; other events up to lastIndex are
+// repeats and are dropped. A gap closes the stream. A gap that is there again on the next stream is passed over
+// once an event behind it arrives; a heartbeat alone does not, as the missing events may still come.
 func (s *watchStream) handleEvent(ev watch.Event) error {
 	w := s.owner
-	if ev.Index == w.lastIndex && ev.IsHeartbeat() {
-		s.skippedLines = 0 // none of the lines was an event
-	}
 	if ev.Index <= w.lastIndex {
+		s.skippedLines = 0 // none of the lines was a newer event
+		w.takeLate(ev)
 		return nil
 	}
+	requests := 0
 	if ev.Index > s.maxNextIndex(ev) {
 		if !w.isRepeatedGap(eventGap{after: w.lastIndex, before: ev.Index}) {
 			return errEventGap
@@ -139,11 +144,27 @@
 		}
 		w.handler.countUnreadable(1)
 		w.log.Error("coordinator events skipped, missing", "after", w.lastIndex, "before", ev.Index)
+		requests = 1
+	}
+	s.take(ev, requests)
+	return nil
+}
+
+// take passes on a new event. Those between it and the last one are missing and have been requested again as
+// often as requests says; a heartbeat stands for a missing one itself.
+func (s *watchStream) take(ev watch.Event, requests int) {
+	w := s.owner
+	lastMissing := ev.Index - 1
+	if ev.IsHeartbeat() {
+		lastMissing = ev.Index
 	}
+	w.passOver(w.lastIndex+1, lastMissing, requests)
 	w.lastIndex = ev.Index
 	s.skippedLines = 0
+	if !ev.IsHeartbeat() {
+		w.missing.recordTaken(ev)
+	}
 	w.handler.applyEvent(ev)
-	return nil
 }
 
 // maxNextIndex is the highest index that ev can have if no event is missing. A heartbeat repeats the index of
--- a/internal/proxy/watchstream_test.go
+++ b/internal/proxy/watchstream_test.go
@@ -6,17 +6,24 @@
 	"slices"
 	"testing"
 
+	"cloverdoor/internal/eventloop"
 	"cloverdoor/internal/watch"
 )
 
 // recordedEvents records what a watch passes on.
 type recordedEvents struct {
 	indices    []int64
+	late       []int64 // those of indices that were missing before
 	unreadable int
 }
 
 func (r *recordedEvents) applyEvent(ev watch.Event) { r.indices = append(r.indices, ev.Index) }
 
+func (r *recordedEvents) applyLateEvent(ev watch.Event, _ func(string) bool) {
+	r.indices = append(r.indices, ev.Index)
+	r.late = append(r.late, ev.Index)
+}
+
 // has reports whether the event with an index has been passed on.
 func (r *recordedEvents) has(index int64) bool { return slices.Contains(r.indices, index) }
 
@@ -27,6 +34,10 @@
 func TestEventOrder(t *testing.T) {
 	event := func(index int64) watch.Event { return watch.Event{Index: index, Purge: &watch.Purge{Object: "x"}} }
 	heartbeat := func(index int64) watch.Event { return watch.Event{Index: index} }
+	loop, err := eventloop.NewLoop(&handClock{})
+	if err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		name       string
 		lastGap    eventGap
@@ -49,7 +60,7 @@
 		{name: "more missing than skipped lines", skipped: 1, event: event(8), isGap: true},
 	} {
 		handler := &recordedEvents{}
-		w := &coordinatorWatch{handler: handler, log: slog.New(slog.DiscardHandler), lastIndex: 5, lastGap: c.lastGap}
+		w := &coordinatorWatch{handler: handler, loop: loop, log: slog.New(slog.DiscardHandler), lastIndex: 5, lastGap: c.lastGap}
 		s := &watchStream{owner: w, skippedLines: c.skipped}
 		if err := s.handleEvent(c.event); errors.Is(err, errEventGap) != c.isGap {
 			t.Errorf("%s: error %v", c.name, err)
