Coordinator clock: bound the offset by when an event was not published yet

What callers saw: after an outage of the coordinator of 9 s, the offset went to -9.06 s and stayed there; a purge 9.85 s old was ordered with maxage=784 as if it were new, and the check of an answer's time lets copies pass that are 9 s too old (read, not shown).

Cause: every event that came on a stream counted as having just been published (observe with live=true), also those that were there before the stream was opened.

Change: a reported time is a lower bound of the offset, as before, and an upper one by the latest time at which the event is known not to have been there: the process's start, the stream's opening, or a heartbeat that came when it was due. The clock is corrected only beyond these bounds.

In older tests applyEvent has a second argument and the constant maxSampleAge is maxBoundAge now; their checks are as before.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -74,6 +74,9 @@
 // Now is the clock's time at the start of this turn's callbacks.
 func (l *Loop) Now() Timestamp { return l.now }
 
+// EarliestArrival is a time before which nothing of what is read in this turn had arrived.
+func (l *Loop) EarliestArrival() Timestamp { return l.previousPollEnd }
+
 // CurrentTime reads the clock, for uses for which the time of the turn may be too old.
 func (l *Loop) CurrentTime() Timestamp { return l.clock.Now() }
 
--- a/internal/proxy/coordinatorclock.go
+++ b/internal/proxy/coordinatorclock.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -12,11 +13,10 @@
 )
 
 const (
-	// maxReportDelay is how late a purge is reported at most in normal operation. A report within it is
-	// consistent with the process's own clock.
+	// maxReportDelay is how long after a purge its event is published at most in normal operation.
 	maxReportDelay = 500 * time.Millisecond
-	// maxSampleAge is how long a reported time counts: a wrong or late one has no effect after it.
-	maxSampleAge = 10 * time.Second
+	// maxBoundAge is how long a bound holds: a wrong or late time has no effect after it.
+	maxBoundAge = 10 * time.Second
 	// minCorrection is the smallest change of the offset that is applied.
 	minCorrection = 200 * time.Millisecond
 )
@@ -24,65 +24,84 @@
 // coordinatorClock converts between the loop's time and the coordinator's, which reports Unix times.
 //
 // The loop's time was set from the machine's wall clock when the process started, and may have been wrong
-// then. An event is reported after it happened, so the latest of the recently reported times is a lower bound
-// of the coordinator's time. The process's own clock is used unchanged as long as it agrees with that bound.
+// then. An event is reported after it happened, so each reported time is a lower bound of the coordinator's
+// time. It is an upper bound too, of the time at which the event was not published yet. The process's own clock
+// is used unchanged as long as it agrees with the recent bounds.
 type coordinatorClock struct {
 	loop   *eventloop.Loop
 	log    *slog.Logger
 	notify func(policy.Event) // receives corrections
 
-	samples []clockSample // recent ones, the highest lead first
-	offset  time.Duration // coordinator's time minus the loop's
+	lower  []offsetBound // recent lower bounds of the offset, the highest first
+	upper  []offsetBound // recent upper bounds of the offset, the lowest first
+	offset time.Duration // coordinator's time minus the loop's
 
 	// newestInitialPurge is the latest time of a purge in the configuration's initial state; 0: none.
 	newestInitialPurge eventloop.Timestamp
 }
 
-// clockSample is by how much a reported time led the loop's when it arrived; reports of the past have a
-// negative lead.
-type clockSample struct {
-	at   eventloop.Timestamp
-	lead time.Duration
+// offsetBound is a bound of the offset that a reported time has shown.
+type offsetBound struct {
+	at     eventloop.Timestamp // when it was shown
+	offset time.Duration
 }
 
-// observe compares a time that the coordinator reported with the loop's, and reports a correction. live is
-// true for a purge that has just been reported: only that shows that the clock is ahead. Any time in the
-// future shows that it is behind.
-func (c *coordinatorClock) observe(reported eventloop.Timestamp, live bool) {
+// observe compares a time that the coordinator reported with the loop's, and reports a correction.
+// notPublishedAt is a time of the loop at which the event was not published yet; 0: unknown, so that only a
+// reported time in the future shows anything.
+func (c *coordinatorClock) observe(reported, notPublishedAt eventloop.Timestamp) {
 	now := c.loop.Now()
-	if !live && reported <= c.toCoordinator(now) {
+	if notPublishedAt == 0 && reported <= c.toCoordinator(now) {
 		return
 	}
-	change := c.addSample(reported-now, now)
-	if change == 0 {
+	c.addLowerBound(offsetBound{at: now, offset: reported - now})
+	if notPublishedAt != 0 {
+		c.addUpperBound(offsetBound{at: now, offset: reported - notPublishedAt + maxReportDelay})
+	}
+	change := c.estimate() - c.offset
+	if change.Abs() < minCorrection {
 		return
 	}
+	c.offset += change
 	c.log.Warn("clock offset from coordinator changed", "offset", c.offset)
 	c.notify(policy.ClockCorrection{Offset: -change})
 }
 
-// addSample adds a sample and returns by how much the offset has changed; 0: it stays.
-func (c *coordinatorClock) addSample(lead time.Duration, now eventloop.Timestamp) time.Duration {
-	c.samples = slices.DeleteFunc(c.samples, func(s clockSample) bool {
-		return now-s.at > maxSampleAge || s.lead <= lead
+// addLowerBound adds a lower bound and removes those that are old or no higher.
+func (c *coordinatorClock) addLowerBound(added offsetBound) {
+	c.lower = slices.DeleteFunc(c.lower, func(b offsetBound) bool {
+		return added.at-b.at > maxBoundAge || b.offset <= added.offset
 	})
-	c.samples = append(c.samples, clockSample{at: now, lead: lead})
-	change := c.estimate() - c.offset
-	if change.Abs() < minCorrection {
-		return 0
-	}
-	c.offset += change
-	return change
+	c.lower = append(c.lower, added)
+}
+
+// addUpperBound adds an upper bound and removes those that are old or no lower.
+func (c *coordinatorClock) addUpperBound(added offsetBound) {
+	c.upper = slices.DeleteFunc(c.upper, func(b offsetBound) bool {
+		return added.at-b.at > maxBoundAge || b.offset >= added.offset
+	})
+	c.upper = append(c.upper, added)
 }
 
-// estimate is the offset that the samples show: 0 as long as they are consistent with the process's own
-// clock.
+// estimate is the offset that the bounds show: 0, the present offset, or else the highest lower bound, so that
+// nothing counts as older than it is. Where bounds contradict each other, the lower one is right: a report may
+// be later than expected, but never earlier.
 func (c *coordinatorClock) estimate() time.Duration {
-	highestLead := c.samples[0].lead
-	if -maxReportDelay <= highestLead && highestLead <= 0 {
-		return 0
+	lowest := c.lower[0].offset
+	for _, candidate := range []time.Duration{0, c.offset} {
+		if lowest <= candidate && candidate <= c.highestOffset() {
+			return candidate
+		}
+	}
+	return lowest
+}
+
+// highestOffset is the highest offset that is consistent with the bounds.
+func (c *coordinatorClock) highestOffset() time.Duration {
+	if len(c.upper) == 0 {
+		return math.MaxInt64
 	}
-	return highestLead
+	return max(c.upper[0].offset, c.lower[0].offset+maxReportDelay)
 }
 
 // toLocal is the loop's time at a time of the coordinator.
@@ -97,12 +116,12 @@
 
 // age is how long ago, counted from the turn's time, something took place that the coordinator reported with
 // a Unix time. It is a lower bound. The Unix time is in milliseconds: a copy made within that millisecond
-// may be older than the purge, so the age counts from its end. Before any sample the process's own clock may
+// may be older than the purge, so the age counts from its end. Before any bound the process's own clock may
 // be wrong: then only the times of the initial state's purges are certain.
 func (c *coordinatorClock) age(unixMillis int64) time.Duration {
 	end := time.Duration(unixMillis+1) * time.Millisecond
 	now := c.toCoordinator(c.loop.Now())
-	if len(c.samples) == 0 && c.newestInitialPurge != 0 {
+	if len(c.lower) == 0 && c.newestInitialPurge != 0 {
 		now = min(now, c.newestInitialPurge)
 	}
 	return max(0, now-end)
--- a/internal/proxy/coordinatorclock_test.go
+++ b/internal/proxy/coordinatorclock_test.go
@@ -41,7 +41,7 @@
 // returns as how old it counts.
 func (c *clockTest) report(ago time.Duration) time.Duration {
 	c.p.inbox = nil
-	c.p.applyEvent(watch.Event{Purge: &watch.Purge{Object: "x", At: (c.right - ago).Milliseconds()}})
+	c.p.applyEvent(watch.Event{Purge: &watch.Purge{Object: "x", At: (c.right - ago).Milliseconds()}}, c.p.loop.Now())
 	return c.p.inbox[len(c.p.inbox)-1].(policy.Purge).Age
 }
 
@@ -78,8 +78,8 @@
 	if c.p.clock.offset == 0 {
 		t.Error("the wrong time had no effect at all")
 	}
-	c.advance(t, maxSampleAge+time.Second)
-	c.report(-maxSampleAge - time.Second) // what is right by now
+	c.advance(t, maxBoundAge+time.Second)
+	c.report(-maxBoundAge - time.Second) // what is right by now
 	if c.p.clock.offset != 0 {
 		t.Errorf("off by %v", c.p.clock.offset)
 	}
@@ -121,7 +121,7 @@
 			object = "x"
 		}
 		c.p.inbox = nil
-		c.p.applyEvent(watch.Event{Purge: &watch.Purge{Object: object, At: (loop.Now() - ago).Milliseconds()}})
+		c.p.applyEvent(watch.Event{Purge: &watch.Purge{Object: object, At: (loop.Now() - ago).Milliseconds()}}, c.p.loop.Now())
 		for _, ev := range c.p.inbox {
 			router.Handle(loop.Now(), ev)
 		}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -142,6 +142,6 @@
 		return 0
 	}
 	reported := time.Duration(unixMillis) * time.Millisecond
-	t.clock.observe(reported, false)
+	t.clock.observe(reported, 0)
 	return t.clock.toLocal(reported)
 }
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -67,8 +67,8 @@
 // not block.
 type watchHandler interface {
 	// applyEvent takes the next event. Each is passed on once, in the order of their indices; some may be
-	// left out.
-	applyEvent(ev watch.Event)
+	// left out. notPublishedAt is a time at which the event was not published yet.
+	applyEvent(ev watch.Event, notPublishedAt eventloop.Timestamp)
 	// applyLateEvent takes an event that was left out before. superseded reports whether newer events, which
 	// have been passed on already, say what holds for an endpoint.
 	applyLateEvent(ev watch.Event, superseded func(endpoint string) bool)
@@ -101,6 +101,9 @@
 	lastUnreadable     unreadableLine
 	lastGap            eventGap
 
+	// upToDateAt is the latest known time at which no event after lastIndex was published.
+	upToDateAt eventloop.Timestamp
+
 	missing       missingEvents
 	recoveryTimer *eventloop.Timer // requests them again
 }
@@ -117,6 +120,7 @@
 // start opens the first stream.
 func (w *coordinatorWatch) start() {
 	w.lastReadableLineAt = w.loop.Now()
+	w.upToDateAt = w.loop.Now() // the configuration holds the events as they stand at the start
 	w.backoff = minReconnectBackoff
 	w.openStream()
 	w.checkStreams()
--- a/internal/proxy/watchevents.go
+++ b/internal/proxy/watchevents.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"cloverdoor/internal/eventloop"
 	"cloverdoor/internal/watch"
 	"cloverdoor/policy"
 )
@@ -35,30 +36,32 @@
 		}
 	}
 	for _, ev := range events {
-		p.takeEvent(ev, false)
+		p.takeEvent(ev, 0)
 	}
 }
 
 // applyEvent implements watchHandler.
-func (p *Proxy) applyEvent(ev watch.Event) { p.takeEvent(ev, true) }
+func (p *Proxy) applyEvent(ev watch.Event, notPublishedAt eventloop.Timestamp) {
+	p.takeEvent(ev, notPublishedAt)
+}
 
 // applyLateEvent implements watchHandler.
 func (p *Proxy) applyLateEvent(ev watch.Event, superseded func(endpoint string) bool) {
 	if ev.Endpoints != nil {
 		ev.Endpoints = p.endpoints.withoutSuperseded(ev.Endpoints, superseded)
 	}
-	p.takeEvent(ev, false)
+	p.takeEvent(ev, 0)
 }
 
 // countUnreadable implements watchHandler.
 func (p *Proxy) countUnreadable(parts int) { p.counters.unreadableParts += parts }
 
-// takeEvent passes an event on to the decision module. live is true for one that the coordinator has just
-// reported. The first endpoint list ends the start of the program.
-func (p *Proxy) takeEvent(ev watch.Event, live bool) {
+// takeEvent passes an event on to the decision module. notPublishedAt is a time at which it was not published yet;
+// 0: unknown. The first endpoint list ends the start of the program.
+func (p *Proxy) takeEvent(ev watch.Event, notPublishedAt eventloop.Timestamp) {
 	p.invariants.observeEvent(ev)
 	if ev.Purge != nil {
-		p.takePurge(ev.Purge, live)
+		p.takePurge(ev.Purge, notPublishedAt)
 	}
 	if ev.Endpoints != nil {
 		p.endpoints.apply(ev.Endpoints)
@@ -75,10 +78,10 @@
 
 // takePurge passes on a purge. One whose time is not reported counts as new, and one whose target can't be
 // decoded purges every group.
-func (p *Proxy) takePurge(purge *watch.Purge, live bool) {
+func (p *Proxy) takePurge(purge *watch.Purge, notPublishedAt eventloop.Timestamp) {
 	age := time.Duration(0)
 	if purge.At != 0 {
-		p.clock.observe(time.Duration(purge.At)*time.Millisecond, live)
+		p.clock.observe(time.Duration(purge.At)*time.Millisecond, notPublishedAt)
 		age = p.clock.age(purge.At)
 	}
 	switch {
--- a/internal/proxy/watchplay_test.go
+++ b/internal/proxy/watchplay_test.go
@@ -28,14 +28,14 @@
 // watchPlay is a watch and its coordinator. Both run on the test's goroutine, and loopback delivers within the
 // system call, so that a play is the same on any machine.
 type watchPlay struct {
-	t       *testing.T
-	clock   *handClock
-	loop    *eventloop.Loop
-	watch   *coordinatorWatch
-	taken   *recordedEvents
-	started eventloop.Timestamp
+	t     *testing.T
+	clock *handClock
+	loop  *eventloop.Loop
+	watch *coordinatorWatch
+	taken *recordedEvents // what the watch has passed on, unless the test has a handler of its own
 
-	listener int // descriptor
+	held     bool // the network holds up what the coordinator writes
+	listener int  // descriptor
 	lines    []string
 	streams  []*playedStream
 	script   func(number int) streamScript // how the coordinator treats its streams, counted from 0
@@ -55,25 +55,38 @@
 	sent            int  // index of the last event that was written completely
 	openedAt        eventloop.Timestamp
 	lastHeartbeatAt eventloop.Timestamp
-	bytes           int // written
+	bytes           int    // written
+	heldUp          string // written while the network holds it up
 	script          streamScript
 }
 
 // newWatchPlay starts a coordinator that treats its streams by script, and a watch that has taken event 1.
 func newWatchPlay(t *testing.T, script func(number int) streamScript) *watchPlay {
 	t.Helper()
-	clock := &handClock{now: eventloop.Timestamp(time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC).UnixNano())}
+	taken := &recordedEvents{}
+	p := newWatchPlayFor(t, script, 0, func(*eventloop.Loop) watchHandler { return taken })
+	p.taken = taken
+	return p
+}
+
+// newWatchPlayFor starts a play with the handler that newHandler returns. The watch's clock is wrong by an offset.
+func newWatchPlayFor(
+	t *testing.T, script func(number int) streamScript, wrongBy time.Duration, newHandler func(*eventloop.Loop) watchHandler,
+) *watchPlay {
+	t.Helper()
+	right := eventloop.Timestamp(time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC).UnixNano())
+	clock := &handClock{now: right + wrongBy}
 	loop, err := eventloop.NewLoop(clock)
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := &watchPlay{
-		t: t, clock: clock, loop: loop, taken: &recordedEvents{}, started: clock.now,
-		lines: []string{`{"index":1,"evict":{"shard":1,"unix_ms":1}}`}, script: script,
+		t: t, clock: clock, loop: loop, lines: []string{`{"index":1,"evict":{"shard":1,"unix_ms":1}}`}, script: script,
 	}
 	addr := p.listen()
 	p.watch = &coordinatorWatch{
-		handler: p.taken, loop: loop, log: slog.New(slog.DiscardHandler), rng: rand.New(rand.NewPCG(1, 1)), addr: addr, lastIndex: 1,
+		handler: newHandler(loop), loop: loop, log: slog.New(slog.DiscardHandler), rng: rand.New(rand.NewPCG(1, 1)),
+		addr: addr, lastIndex: 1,
 	}
 	p.watch.start()
 	t.Cleanup(p.close)
@@ -181,6 +194,11 @@
 		s.following = true
 		s.lastHeartbeatAt = s.play.clock.now
 	}
+	if !s.play.held && s.heldUp != "" {
+		text := s.heldUp
+		s.heldUp = ""
+		s.write(text)
+	}
 	if s.following {
 		s.script(s)
 	}
@@ -191,6 +209,10 @@
 
 // write writes a text, unless the watch has closed the stream.
 func (s *playedStream) write(text string) {
+	if s.play.held {
+		s.heldUp += text
+		return
+	}
 	n, err := unix.Write(s.fd, []byte(text))
 	if err != nil {
 		s.close()
--- a/internal/proxy/watchstream.go
+++ b/internal/proxy/watchstream.go
@@ -10,6 +10,13 @@
 	"cloverdoor/internal/watch"
 )
 
+const (
+	// minHeartbeatInterval and maxHeartbeatInterval are between which times a heartbeat arrives after the one before
+	// if neither was held up: one is sent every second.
+	minHeartbeatInterval = 500 * time.Millisecond
+	maxHeartbeatInterval = 1500 * time.Millisecond
+)
+
 // watchStream is one connection to the coordinator. It decodes lines and passes on the events that are next
 // in order.
 //
@@ -20,6 +27,7 @@
 	owner              *coordinatorWatch
 	conn               *eventloop.Conn
 	lastReadableLineAt eventloop.Timestamp // when the last complete line arrived, or the stream was opened
+	lastHeartbeatAt    eventloop.Timestamp // when the last heartbeat arrived; 0: none has
 	connectTimeout     time.Duration       // how long its connect may take
 	lineTimeout        time.Duration       // how long it may receive no complete line
 	discardingLine     bool                // the line that is arriving is too long; its rest is discarded
@@ -106,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if ev.IsHeartbeat() {
+		s.recordHeartbeat(ev.Index)
+	}
 	if ev.Index >= lastIndex {
 		s.recovering = false
 	}
@@ -164,7 +175,25 @@
 	if !ev.IsHeartbeat() {
 		w.missing.recordTaken(ev)
 	}
-	w.handler.applyEvent(ev)
+	w.handler.applyEvent(ev, w.upToDateAt)
+}
+
+// recordHeartbeat notes at which time no event after lastIndex was published, as far as a heartbeat shows it: it
+// was written after the stream was opened. One that came when it was due was not held up on its way either, so
+// that it was written just before it arrived.
+func (s *watchStream) recordHeartbeat(index int64) {
+	w := s.owner
+	now := w.loop.Now()
+	sinceLast := now - s.lastHeartbeatAt
+	s.lastHeartbeatAt = now
+	if index != w.lastIndex {
+		return
+	}
+	writtenAfter := s.conn.CreatedAt()
+	if minHeartbeatInterval <= sinceLast && sinceLast <= maxHeartbeatInterval {
+		writtenAfter = w.loop.EarliestArrival()
+	}
+	w.upToDateAt = max(w.upToDateAt, writtenAfter)
 }
 
 // maxNextIndex is the highest index that ev can have if no event is missing. A heartbeat repeats the index of
--- a/internal/proxy/watchstream_test.go
+++ b/internal/proxy/watchstream_test.go
@@ -17,7 +17,9 @@
 	unreadable int
 }
 
-func (r *recordedEvents) applyEvent(ev watch.Event) { r.indices = append(r.indices, ev.Index) }
+func (r *recordedEvents) applyEvent(ev watch.Event, _ eventloop.Timestamp) {
+	r.indices = append(r.indices, ev.Index)
+}
 
 func (r *recordedEvents) applyLateEvent(ev watch.Event, _ func(string) bool) {
 	r.indices = append(r.indices, ev.Index)
