Proxy: end the connection of a partly written call also when its attempt has ended

What callers would see: a request that shares a connection with a call that was given up waits for its deadline, where the server has stopped reading in the middle of that call.

Cause: failPartialWrite ended the connection after 0.1 s only while the attempt was open.

Evidence: TestEndedCallHoldsUpNoOther failed before ('not done after 5 s': the call behind was never sent), and sends it on a new connection now. Effects were not concerned: such a call counts as one that may run (read in neverSent and hasStartedNonIdempotentCall).

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -119,9 +119,10 @@
 	a.p.counters.count(a.req.ClassName, outcomeForwarded)
 }
 
-// failPartialWrite fails the connection of a call of which the peer still has not taken the last byte.
+// failPartialWrite fails the connection of a call of which the peer still has not taken the last byte. Also when
+// its attempt has ended: the rest would hold up the calls behind it.
 func (a *attempt) failPartialWrite() {
-	if !a.written && !a.ended {
+	if !a.written {
 		a.upstream.conn.Fail(errPartialWrite)
 	}
 }
--- /dev/null
+++ b/internal/proxy/partialcall_test.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cloverdoor/internal/eventloop"
+	"cloverdoor/internal/settings"
+	"cloverdoor/internal/watch"
+)
+
+// blockWrites has the first write on any connection take a few bytes and all later ones none, until allow is
+// called.
+func blockWrites(t *testing.T) (allow func()) {
+	t.Helper()
+	const acceptedBytes = 10
+	system := eventloop.System.Write
+	writes := 0
+	eventloop.System.Write = func(fd int, data []byte) (int, error) {
+		writes++
+		if writes > 1 {
+			return -1, unix.EAGAIN
+		}
+		return system(fd, data[:acceptedBytes])
+	}
+	allow = func() { eventloop.System.Write = system }
+	t.Cleanup(allow)
+	return allow
+}
+
+// newSharingProxy returns a proxy that has one connection for all calls to its only server.
+func newSharingProxy(t *testing.T, loop *eventloop.Loop) *Proxy {
+	t.Helper()
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeConn(t, server) })
+	set, err := settings.Decode(json.RawMessage(`{"areas":["hub"],"host-types":["std","parent","origin"],"group-size":1,
+		"classes":[{"name":"r","semantics":"read_like","promise-us":500000,"gain":1}],
+		"domain":{"direct":true,"root-kind":2,"upper-kind":1,"pass-on":[true]},
+		"limits":{"may-cancel":true,"max-attempts":4,"streams-per-conn":32,"second-copies":true}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := &watch.EndpointUpdate{Full: true, Endpoints: []watch.Endpoint{{
+		ID: "o", Addr: server.Addr().String(), Zone: "hub", Kind: "origin", State: watch.StateServing, Weight: 100,
+	}}}
+	return New(loop, Config{
+		Settings: set, MaxDescriptors: 1, MaxMemoryBytes: 1 << 26,
+		InitialState: watch.InitialState{Index: 1, Events: []watch.Event{{Index: 1, Endpoints: list}}},
+	}, slog.New(slog.DiscardHandler))
+}
+
+// Guards against a request that waits for its deadline behind the rest of a call that nobody wants any more: the
+// connection of a call that was written in part ends after 0.1 s, also when its attempt has ended before.
+func TestEndedCallHoldsUpNoOther(t *testing.T) {
+	clock := &handClock{now: eventloop.Timestamp(time.Now().UnixNano())}
+	loop, err := eventloop.NewLoop(clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newSharingProxy(t, loop)
+	turnUntil := func(done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !done(); {
+			if time.Now().After(end) {
+				t.Fatal("not done after 5 s")
+			}
+			if err := loop.Wait(time.Millisecond); err != nil {
+				t.Fatal(err)
+			}
+			p.processEvents()
+		}
+	}
+	submit := func(id string) *request {
+		in := Request{ID: id, ClassName: "r", Object: "7f3a9c21e0b4d655", Timeout: time.Minute}
+		return p.requests[p.Submit(in, discardResponder{})]
+	}
+	allowWrites := blockWrites(t)
+	unwanted := submit("0000000000000001")
+	turnUntil(func() bool { return len(unwanted.attempts) > 0 && unwanted.attempts[0].started })
+	other := submit("0000000000000002")
+	turnUntil(func() bool { return len(other.attempts) > 0 })
+	shared := unwanted.attempts[0].upstream
+	if other.attempts[0].upstream != shared {
+		t.Fatal("the calls do not share a connection")
+	}
+	p.HandleDisconnect(unwanted.number)
+	turnUntil(func() bool { return unwanted.attempts[0].ended })
+	clock.now += maxPartialWriteTime + time.Millisecond
+	turnUntil(func() bool { return shared.conn.Ended() })
+	allowWrites()
+	turnUntil(func() bool { return other.attempts[len(other.attempts)-1].written })
+	if len(other.attempts) != 2 || other.attempts[0].started {
+		t.Errorf("%d attempts", len(other.attempts))
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -114,7 +114,7 @@
 // isUnusableAfter reports whether the connection must take no new calls once a call that was sent on it has
 // been stopped. Also unusable: a connection on which an answer has arrived in part, as its rest would be read
 // as the start of the next answer, and one on which the call was written in part. The call's remaining bytes
-// are written only while other calls keep the connection open.
+// are written only while other calls keep the connection open, and for maxPartialWriteTime at most.
 func (u *upstream) isUnusableAfter(stopped *attempt) bool {
 	return u.unresponsive() || u.conn.UnparsedBytes() > 0 || !stopped.written || u.p.requiresConnClose(stopped)
 }
