Policy: hedge only within the limits on a request's attempts

What servers would see: one read sent 24 times where the settings allow two attempts, as long as the retry budget lasts. What callers would see where hedging is off: a rejection, as the last allowed attempt was cancelled though none could follow it.

Cause: mayHedge asked for the retry budget, not for max-attempts and the limit on failures, as mayRetry does. Both ask hasAttemptsLeft now.

--- a/policy/overdue.go
+++ b/policy/overdue.go
@@ -67,10 +67,10 @@
 
 // mayHedge reports whether an overdue attempt's request should be sent again. Unless its answer is lost, one
 // of its endpoints must be ejected, and the second attempt must be able to meet the objective. Only
-// idempotent requests are hedged.
+// idempotent requests are hedged, and only as long as they have attempts left.
 func (r *Router) mayHedge(a *attempt, lost bool) bool {
 	req := a.request
-	if req.class.Idempotency != Idempotent || !r.hasRetryBudget() {
+	if req.class.Idempotency != Idempotent || !r.hasAttemptsLeft(req) {
 		return false
 	}
 	if lost {
--- a/policy/overdue_test.go
+++ b/policy/overdue_test.go
@@ -65,3 +65,31 @@
 		t.Fatalf("%+v", acts)
 	}
 }
+
+// Guards against requests that are hedged beyond the settings' limit of attempts, and against an attempt that is
+// cancelled although no other may follow it: the last one that is allowed goes on until it is answered.
+func TestHedgesStayWithinMaxAttempts(t *testing.T) {
+	for _, hedging := range []bool{true, false} {
+		set := testSettings()
+		set.Hedging = hedging
+		set.MaxAttempts = 2
+		h := newHarnessWith(t, set)
+		h.serve(1, "x", CacheStatusFilled)
+		acts := h.request(2, "x", 0)
+		attempts := 0
+		for id := int64(3); fetchOf(acts) != nil; id++ {
+			attempts++
+			due := acts[len(acts)-1].(StartTimer)
+			h.now += ms
+			h.serve(id, "x", CacheStatusHit) // the cache answers others: the answer to request 2 is lost
+			h.now += due.In
+			acts = h.do(TimerFired{Token: due.Token})
+			if len(acts) == 1 && acts[0] == (Cancel{ID: 2, Attempt: attempts - 1}) {
+				acts = h.do(Outcome{ID: 2, Attempt: attempts - 1, Result: ResultCancelled})
+			}
+		}
+		if attempts != set.MaxAttempts || len(acts) != 0 {
+			t.Errorf("hedging %v: %d attempts, then %+v", hedging, attempts, acts)
+		}
+	}
+}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -68,21 +68,23 @@
 // mayRetry reports whether a request may have another attempt. Target is the last attempt's: a repeat that is
 // harmful there is harmful anywhere.
 func (r *Router) mayRetry(req *request, target *endpointState) bool {
-	maxAttempts := r.settings.MaxAttempts
-	if maxAttempts == 0 {
-		maxAttempts = defaultMaxAttempts
-	}
 	answerAt := r.now + durationOf(req.transferSeconds)
-	switch {
-	case answerAt >= req.deadline,
-		len(req.attempts) >= maxAttempts,
-		!r.hasRetryBudget(),
-		req.failedAttempts >= maxFailedAttempts:
+	if answerAt >= req.deadline || !r.hasAttemptsLeft(req) {
 		return false
 	}
 	return r.mayRepeat(req, target)
 }
 
+// hasAttemptsLeft reports whether the limits on attempts and the retry budget leave a request one more.
+func (r *Router) hasAttemptsLeft(req *request) bool {
+	maxAttempts := r.settings.MaxAttempts
+	if maxAttempts == 0 {
+		maxAttempts = defaultMaxAttempts
+	}
+	withinLimits := len(req.attempts) < maxAttempts && req.failedAttempts < maxFailedAttempts
+	return withinLimits && r.hasRetryBudget()
+}
+
 // rejectOrFail gives a request its final answer, unless another attempt may still bring one.
 func (r *Router) rejectOrFail(req *request) {
 	if req.pendingAttempts > 0 {
