Policy: what happened before an endpoint's restart does not eject its new process

What callers would see: a cache that has just restarted gets no requests for half a second or more, for one failure of its own, or for a connect to the process before that fails after the restart was reported.

Cause: a restart reset ejections but not consecutive failures, and an attempt counted against the endpoint whenever it ended, also when it had been created before the restart.

Silence and failed fills ask the same.

--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -74,8 +74,7 @@
 	e.Endpoint = listed
 }
 
-// resetContents resets an endpoint's contents and health: it is empty and not ejected. Its consecutive
-// failures still count.
+// resetContents resets an endpoint's contents and health: it is empty, not ejected, and has not failed.
 func (e *endpointState) resetContents() {
 	// NewLRU fails only for a size below 1.
 	e.cacheIndex, _ = simplelru.NewLRU[uint64, cacheRecord](cacheIndexSize, nil)
@@ -83,6 +82,7 @@
 	e.link.slowdown = 0
 	e.ejections = 0
 	e.ejectedUntil = 0
+	e.consecutiveFailures = 0
 }
 
 // apply moves the start times by the offset. A purge never moves to earlier: it must not count as older than
--- a/policy/outliers.go
+++ b/policy/outliers.go
@@ -4,8 +4,8 @@
 //
 // Inputs: the result and cache status of each attempt, and overdue timers. An endpoint is ejected when an
 // attempt ends as ResultConnectFailed, when it stays silent, or when it fails consecutive requests that
-// another endpoint then answers: a request that fails everywhere is at fault itself. Result: isEjected, and
-// the time until which it holds.
+// another endpoint then answers: a request that fails everywhere is at fault itself. Attempts from before a
+// restart do not count against the new process. Result: isEjected, and the time until which it holds.
 //
 // An ejection lasts baseEjectionTime, twice as long for each earlier one that no response has made up for.
 // Afterwards the endpoint receives one attempt at a time until its responses have made up for all of them.
@@ -26,11 +26,11 @@
 	if o.targetResponded() {
 		a.target.recordResponse(r.now)
 	} else if o.Result == ResultConnectFailed {
-		a.target.eject(r.now)
+		r.ejectAfter(a, a.target)
 	}
 	switch o.CacheStatus {
 	case CacheStatusSourceFailed:
-		a.source.eject(r.now)
+		r.ejectAfter(a, a.source)
 	case CacheStatusOriginFailed, CacheStatusSourceMissing, CacheStatusFilled, CacheStatusFilledByOrigin:
 		a.source.recordResponse(r.now)
 	}
@@ -50,7 +50,7 @@
 func (r *Router) countFailures(req *request, answeredBy *endpointState) {
 	for i, a := range req.attempts {
 		repeated := i > 0 && a.target == req.attempts[i-1].target
-		if a.state != attemptFailed || a.target == answeredBy || repeated {
+		if a.state != attemptFailed || a.target == answeredBy || repeated || a.precedesRestartOf(a.target) {
 			continue
 		}
 		a.target.consecutiveFailures++
@@ -60,6 +60,17 @@
 	}
 }
 
+// ejectAfter ejects an endpoint for what an attempt has shown of it.
+func (r *Router) ejectAfter(a *attempt, e *endpointState) {
+	if !a.precedesRestartOf(e) {
+		e.eject(r.now)
+	}
+}
+
+// precedesRestartOf reports whether an attempt was created before an endpoint's last start: a failure
+// concerns the process before.
+func (a *attempt) precedesRestartOf(e *endpointState) bool { return a.decidedAt < e.Started }
+
 // recordResponse ends an ejection and makes up for one earlier ejection.
 func (e *endpointState) recordResponse(now time.Duration) {
 	e.ejections = max(0, e.ejections-1)
--- a/policy/outliers_test.go
+++ b/policy/outliers_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A cache that fails requests which others answer is ejected, and returns with its next good answer. A
 // request that fails everywhere is given up, and ejects no cache.
@@ -68,3 +71,72 @@
 		t.Fatal("three responses must make up for three ejections")
 	}
 }
+
+// restart has the endpoint list say that an endpoint has restarted now.
+func (h *harness) restart(id string) {
+	listed := h.router.endpoints[id].Endpoint
+	listed.Started = h.now
+	h.do(EndpointUpdate{Endpoints: []Endpoint{listed}})
+}
+
+// failOnce has one request fail at an endpoint, twice in a row, and be answered by another one.
+func (h *harness) failOnce(id int64, object, endpoint string) {
+	h.t.Helper()
+	f := fetchOf(h.request(id, object, 0))
+	for attempt := 0; ; attempt++ {
+		if f == nil {
+			h.t.Fatalf("request %d was given up", id)
+		}
+		if f.Target != endpoint {
+			h.do(Outcome{ID: id, Attempt: attempt, Result: ResultOK, CacheStatus: CacheStatusFilled,
+				Elapsed: 150 * ms, RequestFinished: true})
+			return
+		}
+		f = fetchOf(h.do(Outcome{ID: id, Attempt: attempt, Result: ResultError, Elapsed: ms}))
+	}
+}
+
+// Guards against a new process that is ejected for the failures of the one before: those of requests that were
+// sent before its restart do not count, whenever they are answered.
+func TestFailuresEndWithARestart(t *testing.T) {
+	h := newHarness(t)
+	home := h.serve(1, "x", CacheStatusFilled).Target
+	ejected := func() bool { return h.router.isEjected(h.router.endpoints[home]) }
+	h.failOnce(2, "x", home)
+	h.now += time.Minute
+	h.restart(home)
+	h.now += time.Minute
+	h.failOnce(3, "x", home)
+	if ejected() {
+		t.Error("ejected for one failure before its restart and one after it")
+	}
+
+	h.serve(4, "x", CacheStatusHit)
+	for id := int64(5); id < 7; id++ {
+		h.request(id, "x", 0)
+		h.do(Outcome{ID: id, Result: ResultError, Elapsed: ms})
+	}
+	h.now += ms
+	h.restart(home)
+	for id := int64(5); id < 7; id++ { // the second attempts end after the restart
+		f := fetchOf(h.do(Outcome{ID: id, Attempt: 1, Result: ResultError, Elapsed: ms}))
+		for attempt := 2; f != nil; attempt++ {
+			result := ResultOK
+			if f.Target == home {
+				result = ResultError
+			}
+			f = fetchOf(h.do(Outcome{ID: id, Attempt: attempt, Result: result, CacheStatus: CacheStatusFilled,
+				Elapsed: ms, RequestFinished: result == ResultOK}))
+		}
+	}
+	if ejected() {
+		t.Error("ejected for requests that were sent before its restart")
+	}
+	h.request(7, "x", 0)
+	h.now += ms
+	h.restart(home)
+	h.do(Outcome{ID: 7, Result: ResultConnectFailed})
+	if ejected() {
+		t.Error("ejected for a connect to the process before")
+	}
+}
--- a/policy/overdue.go
+++ b/policy/overdue.go
@@ -59,9 +59,9 @@
 	targetSilent := a.target.lastResponseAt <= a.decidedAt
 	sourceSilent := a.source.lastResponseAt <= a.decidedAt
 	if !lost && targetSilent {
-		a.target.eject(r.now)
+		r.ejectAfter(a, a.target)
 	} else if sourceSilent && !a.expectHit {
-		a.source.eject(r.now)
+		r.ejectAfter(a, a.source)
 	}
 }
 
