Endpoints: compare all starts of a list with the clock before converting the first

What callers would see: endpoints of a list that corrects the clock count as restarted, with an empty cache and the budget of a slow start, and their starts are off by as much as the clock was.

Cause: each entry was converted as it came. Those ahead of the one that corrects the clock kept the old offset, while the decision module had moved the starts that it knows.

Evidence: TestStartsOfOneListHaveOneOffset failed before: the start was at 492322h, want 492321h (the correction is 1 h).

Measured: tests of internal/proxy.

--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -50,6 +50,7 @@
 
 // apply takes a full list of endpoints or changes to it.
 func (t *endpointTable) apply(update *watch.EndpointUpdate) {
+	t.observeStarts(update)
 	inUse := map[string]bool{} // whether each endpoint that the update names is in use from now on
 	decoded := policy.EndpointUpdate{Full: update.Full}
 	for _, entry := range update.Endpoints {
@@ -91,6 +92,16 @@
 	return changes
 }
 
+// observeStarts compares the start times of an update with the clock. All of them must be known before any is
+// converted: one may correct the clock.
+func (t *endpointTable) observeStarts(update *watch.EndpointUpdate) {
+	for _, entry := range update.Endpoints {
+		if entry.Started != 0 {
+			t.clock.observe(time.Duration(entry.Started)*time.Millisecond, 0)
+		}
+	}
+}
+
 // applyEntry decodes one endpoint and passes its address to the pools. One that can't be decoded counts as
 // removed, as it can't be used, and as the entry may have said that it is draining.
 func (t *endpointTable) applyEntry(entry watch.Endpoint, fullList bool) policy.Endpoint {
@@ -141,7 +152,5 @@
 	if unixMillis == 0 {
 		return 0
 	}
-	reported := time.Duration(unixMillis) * time.Millisecond
-	t.clock.observe(reported, 0)
-	return t.clock.toLocal(reported)
+	return t.clock.toLocal(time.Duration(unixMillis) * time.Millisecond)
 }
--- a/internal/proxy/endpoints_test.go
+++ b/internal/proxy/endpoints_test.go
@@ -5,7 +5,9 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
+	"cloverdoor/internal/eventloop"
 	"cloverdoor/internal/watch"
 	"cloverdoor/policy"
 )
@@ -77,3 +79,30 @@
 		}
 	}
 }
+
+// Guards against an endpoint that counts as restarted as its list corrects the clock: all starts of a list are
+// converted with the offset that holds after it, whatever their order.
+func TestStartsOfOneListHaveOneOffset(t *testing.T) {
+	const behind = time.Hour
+	c := newClockTest(t, -behind)
+	var starts []policy.Endpoint
+	corrected := time.Duration(0)
+	table := &endpointTable{
+		log: slog.New(slog.DiscardHandler), clock: c.p.clock, pools: &recordedPools{},
+		kinds: []string{"std"}, zones: []string{"edge"}, startMillis: map[string]int64{},
+		notify: func(ev policy.Event) { starts = ev.(policy.EndpointUpdate).Endpoints },
+	}
+	c.p.clock.notify = func(ev policy.Event) { corrected += ev.(policy.ClockCorrection).Offset }
+	entry := func(id string, started eventloop.Timestamp) watch.Endpoint {
+		return watch.Endpoint{
+			ID: id, State: watch.StateServing, Kind: "std", Zone: "edge", Addr: "127.0.0.1:1", Started: started.Milliseconds(),
+		}
+	}
+	first := entry("a", c.right-2*behind)
+	table.apply(&watch.EndpointUpdate{Full: true, Endpoints: []watch.Endpoint{first}})
+	before := starts[0].Started
+	table.apply(&watch.EndpointUpdate{Endpoints: []watch.Endpoint{first, entry("b", c.right)}})
+	if want := before + corrected; corrected != -behind || starts[0].Started != want {
+		t.Errorf("corrected by %v; the start is at %v, want %v", corrected, starts[0].Started, want)
+	}
+}
--- a/internal/proxy/watchclock_test.go
+++ b/internal/proxy/watchclock_test.go
@@ -34,7 +34,7 @@
 		p := newEventProxy(loop)
 		p.lifecycle = &lifecycle{loop: loop, log: p.log, phase: Serving}
 		p.endpoints = &endpointTable{
-			log: slog.New(slog.DiscardHandler), clock: p.clock, pools: discardedPools{}, notify: p.notify,
+			log: slog.New(slog.DiscardHandler), clock: p.clock, pools: &recordedPools{}, notify: p.notify,
 			kinds: []string{"std"}, zones: []string{"edge"}, startMillis: map[string]int64{},
 		}
 		c.proxy = p
--- a/internal/proxy/watchrecovery_test.go
+++ b/internal/proxy/watchrecovery_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -144,7 +143,7 @@
 	t.Helper()
 	table := &lateTable{states: map[string]policy.State{}}
 	table.endpointTable = endpointTable{
-		log: slog.New(slog.DiscardHandler), clock: newClockTest(t, 0).p.clock, pools: discardedPools{},
+		log: slog.New(slog.DiscardHandler), clock: newClockTest(t, 0).p.clock, pools: &recordedPools{},
 		kinds: []string{"std"}, zones: []string{"edge"}, startMillis: map[string]int64{},
 	}
 	table.notify = func(ev policy.Event) {
@@ -159,13 +158,6 @@
 	return table
 }
 
-// discardedPools are pools that hold nothing.
-type discardedPools struct{}
-
-func (discardedPools) SetAddress(string, netip.AddrPort) {}
-func (discardedPools) DiscardConns(string)               {}
-func (discardedPools) RemoveEndpoint(string)             {}
-
 // Guards against a late event that undoes a newer one: whichever event of a series is late, the endpoints end in
 // the states that the whole series says.
 func TestLateEventUndoesNothing(t *testing.T) {
