--- a/cmd/edgeproxy/env_test.go
+++ b/cmd/edgeproxy/env_test.go
@@ -22,6 +22,8 @@
 const (
 	// defaultMemoryMB is the memory limit of the program where a test sets none.
 	defaultMemoryMB = 192
+	// testSockets is the limit on descriptors of the program.
+	testSockets = 1024
 	// retryInterval is how often eventually looks for what it waits for.
 	retryInterval = 5 * time.Millisecond
 )
@@ -83,7 +85,7 @@
 	}
 	env.cmd, env.configPath = programCommand(env.t, map[string]any{
 		"name": "n1", "listen": env.addr, "admin_addr": env.adminAddr, "seed": "8c1f30d27a5be964", "coordinator": coordinator,
-		"limits": map[string]any{"cores": 1, "memory_mb": env.memoryMB, "sockets": 1024},
+		"limits": map[string]any{"cores": 1, "memory_mb": env.memoryMB, "sockets": testSockets},
 		"known":  map[string]any{"index": len(known), "updates": known},
 		"settings": map[string]any{
 			"areas": []string{"hub", "edge"}, "host-types": []string{"std", "parent", "origin"}, "zone": 1, "group-size": 1,
@@ -218,6 +220,16 @@
 	}
 }
 
+// countDescriptors counts the open descriptors of a process.
+func (env *testEnv) countDescriptors(pid int) int {
+	env.t.Helper()
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	return len(descriptors)
+}
+
 // mustAddr parses an address.
 func mustAddr(t *testing.T, s string) netip.AddrPort {
 	t.Helper()
--- a/cmd/edgeproxy/replace_test.go
+++ b/cmd/edgeproxy/replace_test.go
@@ -107,3 +107,54 @@
 		}
 	}
 }
+
+// TestReplacementServesAllClients guards against clients that are turned away because two processes share the
+// descriptors: each takes as many connections as clients may hold together, a third of the limit, and both
+// together stay within the limit.
+func TestReplacementServesAllClients(t *testing.T) {
+	const clientConns = testSockets / 3
+	env := newTestEnv(t)
+	held := listen(t).(*net.TCPListener)
+	socket, err := held.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeOnce(t, socket)
+	env.heldSocket = socket
+	env.cache.answerAll("served", "-", "fine")
+	env.start(fullList(env.cache.Addr(), env.origin.Addr()))
+	env.addr = held.Addr().String()
+	env.awaitAlive("200")
+	old := env.startReplacement()
+	env.eventually("the new process is ready", func() bool {
+		conn, err := net.Dial("tcp", env.adminAddr)
+		if err == nil {
+			closeOnce(t, conn)
+		}
+		return err == nil && env.readiness() == 200
+	})
+	if err := old.Process.Signal(syscall.SIGSTOP); err != nil { // the new process alone takes the clients
+		t.Fatal(err)
+	}
+	var clients []*client
+	for range clientConns {
+		c := env.dial()
+		c.request(1, "artes", longTimeoutMS, 1, "")
+		a := receive(t, c.answers, "answer")
+		if a.body != "fine" {
+			t.Fatalf("client %d: %+v", len(clients), a)
+		}
+		clients = append(clients, c)
+	}
+	descriptors := env.countDescriptors(old.Process.Pid) + env.countDescriptors(env.cmd.Process.Pid)
+	if descriptors > testSockets {
+		t.Errorf("both processes hold %d descriptors of %d", descriptors, testSockets)
+	}
+	if err := old.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	clients[0].request(2, "artes", longTimeoutMS, 1, "")
+	if a := receive(t, clients[0].answers, "answer on the first connection"); a.body != "fine" {
+		t.Errorf("%+v", a)
+	}
+}
