FastCGI server: don't ask to close a connection that has a request open

What operators would see: svc_denied{action="close",rule="answer"} grows by 20 a second for each client that waits for over 5 s, and hides a close that was really denied.

Cause: isOverdue went by the time since the last input or answer alone; the guard was asked and denied it every 50 ms.

Evidence: TestNoCloseIsAskedForWhileARequestIsOpen failed before (100 denials in 10 s) and passes five times now. The test also holds that the connection is closed once its request has been answered.

Measured: tests of internal/proxy.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -217,8 +217,12 @@
 	return c.server.loop.Now() - max(c.conn.LastReceived(), c.lastAnswer)
 }
 
-// isOverdue reports whether the client has exceeded a timeout for sending a request or for being idle.
+// isOverdue reports whether the client has exceeded a timeout for sending a request or for being idle. It is not
+// idle while a request is open.
 func (c *clientConn) isOverdue() bool {
+	if len(c.openRequests) > 0 {
+		return false
+	}
 	idle := c.idleTime()
 	if c.incompleteSince == 0 {
 		return idle > idleTimeout
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -32,10 +32,13 @@
 }
 
 // completeRequest is a request for an object, with the records that complete it.
-func completeRequest() []byte {
+func completeRequest() []byte { return requestWithTimeout("5000") }
+
+// requestWithTimeout is a complete request whose client waits for so many milliseconds.
+func requestWithTimeout(millis string) []byte {
 	var pairs []byte
 	for _, p := range [][2]string{{"SCRIPT_NAME", "/ops/w"}, {"HTTP_REQ_ID", "9b1f03aa5c7e2d41"}, {"HTTP_REQ_KEY", "7f3a9c21e0b4d655"},
-		{"HTTP_REQ_WAIT_MS", "5000"}, {"HTTP_X_PIECE", "0"}, {"HTTP_X_LOT", "0"}} {
+		{"HTTP_REQ_WAIT_MS", millis}, {"HTTP_X_PIECE", "0"}, {"HTTP_X_LOT", "0"}} {
 		pairs = append(append(append(pairs, byte(len(p[0])), byte(len(p[1]))), p[0]...), p[1]...)
 	}
 	out := record(1, "\x00\x01\x01\x00\x00\x00\x00\x00")
@@ -149,7 +152,13 @@
 // connection.
 func (l *longTurn) waitForAttempt(t *testing.T) *attempt {
 	t.Helper()
-	if _, err := l.client.Write(completeRequest()); err != nil {
+	return l.waitForAttemptOf(t, completeRequest())
+}
+
+// waitForAttemptOf does so for the records of a request.
+func (l *longTurn) waitForAttemptOf(t *testing.T, records []byte) *attempt {
+	t.Helper()
+	if _, err := l.client.Write(records); err != nil {
 		t.Fatal(err)
 	}
 	l.turnUntil(t, func() bool { return len(l.p.requests) > 0 })
@@ -175,3 +184,31 @@
 		l.p.dispatchEvents()
 	}
 }
+
+// Guards against the figure svc_denied being filled with closes that nobody wanted: a client connection that is
+// silent while its request is open is not asked to close, and is closed once the request has been answered.
+func TestNoCloseIsAskedForWhileARequestIsOpen(t *testing.T) {
+	l := newLongTurn(t)
+	a := l.waitForAttemptOf(t, requestWithTimeout("60000"))
+	server := l.p.fastcgiServers[0]
+	for end := l.clock.now + 2*idleTimeout; l.clock.now < end; l.clock.now += connCheckInterval {
+		if err := l.loop.Wait(0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if denials := l.p.counters.denials; len(denials) != 0 || len(server.conns) != 1 {
+		t.Errorf("denied: %v; %d connections", denials, len(server.conns))
+	}
+	l.p.answer(a.req, Answer{Status: Failed})
+	l.loop.Flush()
+	l.clock.now += 2 * idleTimeout
+	l.turnUntil(t, func() bool {
+		l.loop.Flush()
+		for c := range server.conns {
+			if !c.conn.Ended() {
+				return false
+			}
+		}
+		return true
+	})
+}
