Policy: forget endpoints that were removed eleven minutes ago

What operators would see: where caches are replaced under new ids, memory grows for as long as the process runs, and each update of the endpoint list takes longer.

Cause: Router.endpoints kept removed endpoints for ever, and updateTopology sorts all of them.

Evidence: TestReplacedEndpointsAreForgotten (10,000 caches replaced one after another) failed before: 10,007 kept, the heap 6,093 KB larger, 41 s. TestEndpointThatReturnsIsKnown holds that one which returns within the time keeps what was learned of its link.

--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -14,11 +14,16 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
+// removedRetention is how long a removed endpoint is remembered, in case it returns: longer than any request
+// lives.
+const removedRetention = 11 * time.Minute
+
 // endpointState is an endpoint of the list, with this router's knowledge of it.
 type endpointState struct {
 	Endpoint
-	hash uint64 // of its ID
-	link link
+	hash      uint64        // of its ID
+	removedAt time.Duration // when it was removed; valid while its state is Removed
+	link      link
 
 	// Fills.
 	firstByteSeconds mean  // its wait as a source
@@ -47,23 +52,40 @@
 func (update EndpointUpdate) apply(r *Router) {
 	if update.Full {
 		for _, e := range r.endpoints {
-			e.State = Removed
+			e.setState(Removed, r.now)
 		}
 	}
 	for _, listed := range update.Endpoints {
 		e := r.endpoints[listed.ID]
 		if e == nil {
 			e = &endpointState{hash: xxhash.Sum64String(listed.ID), link: newLink()}
+			e.removedAt = r.now
 			e.resetContents()
 			r.endpoints[listed.ID] = e
 		}
-		e.update(listed)
+		e.update(listed, r.now)
 	}
+	r.forgetRemoved()
 	r.updateTopology()
 }
 
+// forgetRemoved forgets the endpoints that were removed longer than the retention time ago.
+func (r *Router) forgetRemoved() {
+	maps.DeleteFunc(r.endpoints, func(_ string, e *endpointState) bool {
+		return e.State == Removed && r.now-e.removedAt > removedRetention
+	})
+}
+
+// setState changes an endpoint's state.
+func (e *endpointState) setState(state State, now time.Duration) {
+	if state == Removed && e.State != Removed {
+		e.removedAt = now
+	}
+	e.State = state
+}
+
 // update replaces the listed fields of an endpoint.
-func (e *endpointState) update(listed Endpoint) {
+func (e *endpointState) update(listed Endpoint, now time.Duration) {
 	restarted := e.Started != listed.Started
 	if restarted || listed.State == Removed {
 		e.resetContents()
@@ -71,6 +93,7 @@
 	if restarted { // attempts of the last incarnation do not load this one
 		e.slowStartAttempts = nil
 	}
+	e.setState(listed.State, now)
 	e.Endpoint = listed
 }
 
--- a/policy/router.go
+++ b/policy/router.go
@@ -28,7 +28,7 @@
 	startedAt time.Duration // time of the first event
 	actions   []Action      // of the present event
 
-	endpoints map[string]*endpointState // by ID, also those that were removed
+	endpoints map[string]*endpointState // by ID, also those that were removed lately
 	caches    []*endpointState          // of this router's zone, by ID
 	parents   []*endpointState          // by ID
 	origin    *endpointState            // nil while none is listed
