Fault tool: a direction that is ended by time waits for output that is held back

What tests would see: with 'down : delay' and 'down time T : halfclose' (or close), bytes that are held back at T are lost, where the tool's page says that only a reset does not wait.

Cause: the goroutine of a rule by time applied the ending itself, past the direction's queue of outputs. It puts it into the queue now (outputQueue), which reader and rules share under a lock.

--- a/internal/fault/stream.go
+++ b/internal/fault/stream.go
@@ -140,8 +140,7 @@
 	return append(output, s.end(now, EndHalfClosed))
 }
 
-// end ends the stream. A reset is due now, any other ending when the output so far has been written. The
-// caller of Advance may apply an ending without waiting for that, as package relay does.
+// end ends the stream. A reset is due now, any other ending when the output so far has been written.
 func (s *StreamPlan) end(now time.Duration, ending Ending) Output {
 	s.ended = true
 	if ending > EndHalfClosed {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -14,10 +14,6 @@
 const (
 	readBufferSize = 16 << 10 // bytes
 	dialTimeout    = 5 * time.Second
-
-	// maxPendingOutputs is how many outputs of one direction wait for their time. Each has readBufferSize at
-	// most, plus what a repeat rule sends again.
-	maxPendingOutputs = 32
 )
 
 // relayedConn is one relayed connection. It owns both ends: close closes them.
@@ -57,16 +53,16 @@
 
 // relayDirection reads one direction, and has a goroutine of its own write what the plan makes of it.
 func (c *relayedConn) relayDirection(d fault.Direction, from, to *net.TCPConn) {
-	outputs := make(chan fault.Output, maxPendingOutputs)
+	outputs := newOutputQueue()
 	stream := c.plan.Stream(d)
-	c.fireDue(stream, to)
-	for _, due := range c.pendingTimes(stream) {
-		c.relay.runAt(c.ctx, due, func() { c.fireDue(stream, to) })
-	}
 	var writer sync.WaitGroup
 	writer.Go(func() { c.write(to, outputs) })
+	c.fireDue(stream, outputs)
+	for _, due := range c.pendingTimes(stream) {
+		c.relay.runAt(c.ctx, due, func() { c.fireDue(stream, outputs) })
+	}
 	c.read(from, stream, outputs)
-	close(outputs)
+	outputs.close()
 	writer.Wait()
 }
 
@@ -76,21 +72,24 @@
 	return s.PendingTimes()
 }
 
-// fireDue fires the rules by time that are due. It applies their endings itself, at once and before output
-// that is still pending: the reader may be blocked in a read.
-func (c *relayedConn) fireDue(s *fault.StreamPlan, to *net.TCPConn) {
+// fireDue fires the rules by time that are due. A reset takes effect at once, any other ending when the writer
+// reaches it, after the output that is still pending.
+func (c *relayedConn) fireDue(s *fault.StreamPlan, outputs *outputQueue) {
 	c.planMu.Lock()
-	outputs := s.Advance(c.relay.now())
+	planned := s.Advance(c.relay.now())
 	firings := c.plan.TakeFirings()
 	c.planMu.Unlock()
 	c.relay.recordAll(firings)
-	for _, o := range outputs {
-		c.applyEnding(to, o.Ending)
+	for _, o := range planned {
+		if o.Ending == fault.EndReset {
+			c.close(fault.EndReset)
+		}
 	}
+	c.enqueue(planned, outputs)
 }
 
 // read reads until the stream or the connection ends.
-func (c *relayedConn) read(from *net.TCPConn, s *fault.StreamPlan, outputs chan<- fault.Output) {
+func (c *relayedConn) read(from *net.TCPConn, s *fault.StreamPlan, outputs *outputQueue) {
 	buffer := make([]byte, readBufferSize)
 	for {
 		n, err := from.Read(buffer)
@@ -119,11 +118,9 @@
 }
 
 // enqueue passes outputs to the writer. It reports false once the stream or the connection has ended.
-func (c *relayedConn) enqueue(planned []fault.Output, outputs chan<- fault.Output) bool {
+func (c *relayedConn) enqueue(planned []fault.Output, outputs *outputQueue) bool {
 	for _, o := range planned {
-		select {
-		case outputs <- o:
-		case <-c.ctx.Done():
+		if !outputs.put(c.ctx, o) {
 			return false
 		}
 		if o.Ending != fault.NotEnded {
@@ -133,10 +130,10 @@
 	return true
 }
 
-// write writes each output at its time, until the channel is closed or the connection has ended. An ending by
-// bytes or match takes effect when write reaches it, after the output before it.
-func (c *relayedConn) write(to *net.TCPConn, outputs <-chan fault.Output) {
-	for o := range outputs {
+// write writes each output at its time, until the queue is closed or the connection has ended. An ending takes
+// effect when write reaches it, after the output before it.
+func (c *relayedConn) write(to *net.TCPConn, outputs *outputQueue) {
+	for o := range outputs.pending {
 		if !c.relay.sleepUntil(c.ctx, o.Due) {
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -155,6 +155,24 @@
 	}
 }
 
+// TestEndByTimeWaitsForDelayedOutput guards against bytes that are lost, with a reset, when a direction or the
+// connection is ended by time while they are held back: as the script's page says, only a reset does not wait.
+func TestEndByTimeWaitsForDelayedOutput(t *testing.T) {
+	for _, ending := range []string{"halfclose", "close"} {
+		r := newTestRelay(t, "c down : delay 400ms\nc down time 200ms : "+ending)
+		c := r.dial()
+		if _, err := io.WriteString(c, "held back"); err != nil {
+			t.Fatal(err)
+		}
+		c.SetReadDeadline(time.Now().Add(patience)) //nolint:errcheck // ends the read
+		got, err := io.ReadAll(c)
+		if string(got) != "held back" || err != nil {
+			t.Errorf("%s: %q, %v", ending, got, err)
+		}
+		r.await("c#1 down - line 3 " + ending)
+	}
+}
+
 // await waits until a fault has fired that logs the given line.
 func (r *testRelay) await(event string) {
 	r.t.Helper()
