Logs and figures: every answer that serves nothing, and every abandoned client, shows why

What operators would see: clients that lose their connection, or get 400, 503 or OVERLOADED, and nothing that says why.

Cause: one of three paths on which a client is abandoned logged it, answers to requests that were never submitted were counted nowhere, and Reject and Fail of the decision module had no reason.

Change: clientConn.abandon and Closed log all three paths ('client connection closed, output not read' in place of '..., write stalled'). Reject and Fail carry a reason, which 'request not served' logs and the new figure svc_not_served{reason} counts; malformed, too large and partial requests are counted there too.

TestAnswersThatServeNothingShowTheirReason asks for the new figure. Two tests of policy that compare a Fail have its reason in the expected value, so they are stricter by that.

--- a/cmd/edgeproxy/admin_test.go
+++ b/cmd/edgeproxy/admin_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -173,3 +174,25 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// TestAnswersThatServeNothingShowTheirReason guards against answers that no figure shows: each answer that serves
+// nothing is counted under its reason, also where the request was never submitted.
+func TestAnswersThatServeNothingShowTheirReason(t *testing.T) {
+	env := startTestEnv(t)
+	c := env.dial()
+	ask := func(want, reason, class string, params ...string) {
+		t.Helper()
+		c.request(1, class, longTimeoutMS, 1, "", params...)
+		a := receive(t, c.answers, "answer")
+		figure := fmt.Sprintf(`svc_not_served{reason=%q}`, reason)
+		if a.status != want || env.metric(figure) != 1 {
+			t.Errorf("%s: %+v, counted %d times", reason, a, env.metric(figure))
+		}
+	}
+	ask("400", "malformed", "artes", "HTTP_REQ_ID", "nonsense")
+	closeOnce(t, env.origin)
+	ask("503", "attempts_used", "registro")
+	env.sendEvent(endpointEvent(2, false, endpoint("o1", "origin", "hub", "DELETED", env.origin.Addr())))
+	env.awaitEventsTaken()
+	ask("503", "no_endpoint", "registro")
+}
--- a/internal/eventloop/output.go
+++ b/internal/eventloop/output.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxQueuedBytes is how much queued output a connection may have; beyond it the connection fails.
-	maxQueuedBytes = 16 << 20
+	// MaxQueuedBytes is how much queued output a connection may have; beyond it the connection fails.
+	MaxQueuedBytes = 16 << 20
 
 	// maxJoinedBytes is the size up to which small outputs are joined in one buffer: each on its own would
 	// need more memory for its bookkeeping than for its contents.
@@ -115,7 +115,7 @@
 	switch {
 	case c.closed:
 		return
-	case c.queuedBytes > maxQueuedBytes:
+	case c.queuedBytes > MaxQueuedBytes:
 		c.Fail(ErrWriteStalled)
 	case c.closing && len(c.outputQueue) == 0:
 		c.shutdownOutput()
--- a/internal/proxy/actions.go
+++ b/internal/proxy/actions.go
@@ -16,9 +16,9 @@
 			p.startAttempt(q, action)
 		}
 	case policy.Reject:
-		p.answer(p.requests[action.ID], Answer{Status: Rejected, RetryAfter: action.RetryAfter})
+		p.answer(p.requests[action.ID], Answer{Status: Rejected, RetryAfter: action.RetryAfter, Reason: action.Reason})
 	case policy.Fail:
-		p.answer(p.requests[action.ID], Answer{Status: Failed})
+		p.answer(p.requests[action.ID], Answer{Status: Failed, Reason: action.Reason})
 	case policy.Cancel:
 		p.cancelAttempt(action)
 	case policy.StartTimer:
--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -9,6 +9,7 @@
 
 	"cloverdoor/internal/eventloop"
 	"cloverdoor/internal/fastcgi"
+	"cloverdoor/policy"
 )
 
 // backpressureBytes is how many bytes of answers may wait for a client before its further requests are
@@ -89,7 +90,9 @@
 // reject rejects a blocked request.
 func (c *clientConn) reject(b blockedRequest) {
 	to := &responder{conn: c, id: b.request.ID}
-	c.server.handler.rejectUnsubmitted(b.parsed, to, Answer{Status: Rejected, RetryAfter: unsubmittedRetryAfter})
+	c.server.handler.rejectUnsubmitted(b.parsed, to, Answer{
+		Status: Rejected, RetryAfter: unsubmittedRetryAfter, Reason: policy.ReasonBackpressure,
+	})
 }
 
 // relieveMemory makes way for an answer while the memory budget is critical: queued output is written at
@@ -100,8 +103,7 @@
 	}
 	c.conn.Flush()
 	if c.isStalledFor(criticalWriteStallTimeout) {
-		c.conn.Close()
-		c.Closed(errMemoryLimit)
+		c.abandon(errMemoryLimit)
 	}
 }
 
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -95,6 +95,7 @@
 		c.completeRequests++
 		c.closeWhenDone = c.closeWhenDone || !event.KeepConn
 		to := &responder{conn: c, id: event.ID}
+		c.server.counters.countNotServed(policy.ReasonTooLarge)
 		to.writeError(503, event.Err)
 	case fastcgi.Abort:
 		c.handleAbort(event.ID)
@@ -116,6 +117,7 @@
 	}
 	parsed, err := c.server.parse(r)
 	if err != nil {
+		c.server.counters.countNotServed(policy.ReasonMalformed)
 		to.writeError(400, err)
 		return
 	}
@@ -189,9 +191,32 @@
 	c.closeIfDone()
 }
 
-// Closed ends the requests that are open on the connection. Only an eviction (errEvicted) must never meet an
-// open request. A client that is stalled, or for which memory is lacking, loses its requests.
+// Closed ends the requests that are open on the connection, which its client or a failure has closed.
 func (c *clientConn) Closed(err error) {
+	if errors.Is(err, eventloop.ErrWriteStalled) {
+		c.logAbandoned(err, eventloop.MaxQueuedBytes)
+	}
+	c.release(err)
+}
+
+// abandon closes the connection of a client that is stalled, or for which memory is lacking. The client loses its
+// open requests.
+func (c *clientConn) abandon(reason error) {
+	queuedBytes, _ := c.conn.QueuedOutput()
+	c.logAbandoned(reason, queuedBytes)
+	c.conn.Close()
+	c.release(reason)
+}
+
+// logAbandoned logs that the connection is closed with output that its client has not read.
+func (c *clientConn) logAbandoned(reason error, queuedBytes int) {
+	c.server.log.Info("client connection closed, output not read",
+		"connection", c.number, "reason", reason, "queued_bytes", queuedBytes, "open_requests", len(c.openRequests))
+}
+
+// release ends the requests that are open on a connection that is closed. Only an eviction (errEvicted) must never
+// meet an open request.
+func (c *clientConn) release(err error) {
 	delete(c.server.conns, c)
 	delete(c.server.blockedConns, c)
 	for _, number := range c.openRequests {
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -69,13 +69,14 @@
 	classNames []string // in the order in which the classes became known
 	outcomes   map[string]*[outcomeCount]int64
 	denials    map[denial]int64
+	notServed  map[policy.Reason]int64 // answers that served nothing
 
 	configsAccepted, configsRejected int // configurations read again
 	unreadableParts                  int // parts of the coordinator's events that could not be read
 }
 
 func newCounters() *counters {
-	return &counters{outcomes: map[string]*[outcomeCount]int64{}, denials: map[denial]int64{}}
+	return &counters{outcomes: map[string]*[outcomeCount]int64{}, denials: map[denial]int64{}, notServed: map[policy.Reason]int64{}}
 }
 
 // addClass makes a class known, so that its figures are listed from now on. A class that is removed keeps its
@@ -101,6 +102,16 @@
 	return false
 }
 
+// countNotServed counts an answer that serves nothing.
+func (c *counters) countNotServed(reason policy.Reason) { c.notServed[reason]++ }
+
+// writeNotServed adds the figures of answers that served nothing, in a fixed order.
+func (c *counters) writeNotServed(b *strings.Builder) {
+	for _, reason := range slices.Sorted(maps.Keys(c.notServed)) {
+		fmt.Fprintf(b, "svc_not_served{reason=%q} %d\n", reason, c.notServed[reason])
+	}
+}
+
 // writeOutcomes adds the figures of each class.
 func (c *counters) writeOutcomes(b *strings.Builder) {
 	for _, class := range c.classNames {
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -86,7 +86,7 @@
 func (f *FastCGIServer) evict(c *clientConn) {
 	f.log.Info("client connection evicted", "connection", c.number, "idle", c.idleTime())
 	c.conn.Close()
-	c.Closed(errEvicted)
+	c.release(errEvicted)
 }
 
 // evictable reports whether the connection is a candidate: idle for long enough, with nothing open or queued.
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -98,10 +98,7 @@
 func (f *FastCGIServer) checkConn(c *clientConn) {
 	c.rejectBlocked(f.loop.Now())
 	if c.isStalledFor(writeStallTimeout) || f.memory.critical() && c.isStalledFor(criticalWriteStallTimeout) {
-		queuedBytes, _ := c.conn.QueuedOutput()
-		f.log.Info("client connection closed, write stalled", "connection", c.number, "queued_bytes", queuedBytes)
-		c.conn.Close()
-		c.Closed(eventloop.ErrWriteStalled)
+		c.abandon(eventloop.ErrWriteStalled)
 		return
 	}
 	if !c.conn.Ended() && c.isOverdue() && f.mayClose(c.closeInfo()) {
--- a/internal/proxy/partialrequest.go
+++ b/internal/proxy/partialrequest.go
@@ -3,7 +3,10 @@
 // This file holds the memory that requests take before they are complete, and how it is freed while the
 // memory budget is critical.
 
-import "cloverdoor/internal/fastcgi"
+import (
+	"cloverdoor/internal/fastcgi"
+	"cloverdoor/policy"
+)
 
 // minSkippedBytes is how long the beginning of an incomplete record must be to be discarded while the memory
 // budget is critical. The records that begin a request are shorter.
@@ -19,6 +22,7 @@
 func (c *clientConn) rejectPartial(record []byte) (used int) {
 	for _, id := range c.decoder.DropPartial() {
 		c.completeRequests++
+		c.server.counters.countNotServed(policy.ReasonMemory)
 		c.conn.Write(fastcgi.AppendEnd(nil, id, 0, fastcgi.Overloaded))
 	}
 	missing := fastcgi.MissingBytes(record)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cloverdoor/internal/eventloop"
+	"cloverdoor/policy"
 )
 
 // Request is a client's request, whatever protocol it came by. The fields that are forwarded keep the
@@ -43,6 +44,7 @@
 	Version    string // of the copy served
 	Body       []byte
 	RetryAfter time.Duration // of a rejection: how long the client should not retry; 0: not said
+	Reason     policy.Reason // of an answer that serves nothing
 }
 
 // Disconnect says whether a client has disconnected.
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -83,9 +83,9 @@
 // answer is used.
 func rejection(verdict policy.Verdict) Answer {
 	if verdict.Rule == policy.RuleLimits {
-		return Answer{Status: Overloaded}
+		return Answer{Status: Overloaded, Reason: verdict.Reason}
 	}
-	return Answer{Status: Rejected, RetryAfter: unsubmittedRetryAfter}
+	return Answer{Status: Rejected, RetryAfter: unsubmittedRetryAfter, Reason: verdict.Reason}
 }
 
 // admit opens a request and starts its timer.
@@ -119,6 +119,7 @@
 // rejectUnsubmitted answers a request that has not been submitted to the decision module.
 func (p *Proxy) rejectUnsubmitted(in Request, responder Responder, a Answer) {
 	p.counters.count(in.ClassName, a.Status.outcome())
+	p.counters.countNotServed(a.Reason)
 	responder.Respond(p.config.withAllowedRetryAfter(a))
 }
 
@@ -143,7 +144,8 @@
 	}
 	if a.Status != Served && a.Status != NotModified {
 		p.log.Info("request not served", "request", q.ID, "class", q.ClassName, "answer", a.Status.outcome(),
-			"attempts", len(q.attempts))
+			"reason", a.Reason, "attempts", len(q.attempts))
+		p.counters.countNotServed(a.Reason)
 	}
 	p.finish(q)
 	p.invariants.checkFinalAnswer(q, a.Status)
@@ -156,7 +158,7 @@
 // answer in time.
 func (p *Proxy) expire(q *request) {
 	if q.openAttempts == 0 {
-		p.answer(q, Answer{Status: Failed})
+		p.answer(q, Answer{Status: Failed, Reason: policy.ReasonDeadlineExceeded})
 		p.notify(policy.RequestEnded{ID: q.number})
 		return
 	}
@@ -209,7 +211,7 @@
 	if q.hasStartedNonIdempotentCall() {
 		status = Failed
 	}
-	p.answer(q, Answer{Status: status})
+	p.answer(q, Answer{Status: status, Reason: policy.ReasonClientDisconnected})
 	p.notify(policy.RequestEnded{ID: number})
 }
 
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -20,6 +20,7 @@
 	for _, g := range p.gauges() {
 		fmt.Fprintf(&b, "svc_%s %d\n", g.name, g.value)
 	}
+	p.counters.writeNotServed(&b)
 	p.counters.writeDenials(&b)
 	p.invariants.writeFigures(&b)
 	return b.String()
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -25,10 +25,14 @@
 type Reject struct {
 	ID         int64         // of the request
 	RetryAfter time.Duration // how long the client should wait
+	Reason     Reason
 }
 
 // Fail is a final answer that says nothing of the request's effect.
-type Fail struct{ ID int64 }
+type Fail struct {
+	ID     int64 // of the request
+	Reason Reason
+}
 
 // Cancel ends a pending attempt. Its Outcome still has to be reported.
 type Cancel struct {
--- a/policy/attempt.go
+++ b/policy/attempt.go
@@ -85,8 +85,12 @@
 	r.estimate(a)
 	r.applyOriginLimit(a)
 	originHasNoCapacity := a.cachedOnly && source == r.origin
-	if originHasNoCapacity || r.shouldShed(a) {
-		r.rejectOrFail(req)
+	if originHasNoCapacity {
+		r.rejectOrFail(req, ReasonOriginBusy)
+		return
+	}
+	if r.shouldShed(a) {
+		r.rejectOrFail(req, ReasonCongestion)
 		return
 	}
 	r.reserve(a)
--- a/policy/idempotency_test.go
+++ b/policy/idempotency_test.go
@@ -21,7 +21,7 @@
 			t.Errorf("result %v: sent again %v", c.result, again)
 		}
 		if !c.again {
-			if len(acts) != 1 || acts[0] != (Fail{ID: 1}) {
+			if len(acts) != 1 || acts[0] != (Fail{ID: 1, Reason: ReasonMayHaveRun}) {
 				t.Errorf("result %v: %+v, want one Fail", c.result, acts)
 			}
 		}
--- a/policy/overdue.go
+++ b/policy/overdue.go
@@ -70,7 +70,7 @@
 // idempotent requests are hedged, and only as long as they have attempts left.
 func (r *Router) mayHedge(a *attempt, lost bool) bool {
 	req := a.request
-	if req.class.Idempotency != Idempotent || !r.hasAttemptsLeft(req) {
+	if req.class.Idempotency != Idempotent || r.attemptsExhausted(req) != "" {
 		return false
 	}
 	if lost {
--- a/policy/request.go
+++ b/policy/request.go
@@ -57,7 +57,7 @@
 // which a rejection would say, is unknown.
 func (arrived Request) apply(r *Router) {
 	if arrived.Class < 0 || arrived.Class >= len(r.settings.Classes) {
-		r.emit(Fail{ID: arrived.ID})
+		r.emit(Fail{ID: arrived.ID, Reason: ReasonUnknownClass})
 		return
 	}
 	req := r.newRequest(arrived)
--- a/policy/request_test.go
+++ b/policy/request_test.go
@@ -27,7 +27,7 @@
 // A request of an unknown class gets its one final answer.
 func TestUnknownClassIsAnswered(t *testing.T) {
 	h := newHarness(t)
-	if acts := h.request(1, "x", 9); len(acts) != 1 || acts[0] != (Fail{ID: 1}) {
+	if acts := h.request(1, "x", 9); len(acts) != 1 || acts[0] != (Fail{ID: 1, Reason: ReasonUnknownClass}) {
 		t.Fatalf("%+v", acts)
 	}
 }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -41,8 +41,9 @@
 		return
 	}
 	r.avoidAfter(a, o)
-	if !r.mayRetry(req, a.target) {
-		r.rejectOrFail(req)
+	denied := r.retryDenied(req, a.target)
+	if denied != "" {
+		r.rejectOrFail(req, denied)
 		return
 	}
 	r.route(req)
@@ -65,35 +66,44 @@
 	}
 }
 
-// mayRetry reports whether a request may have another attempt. Target is the last attempt's: a repeat that is
-// harmful there is harmful anywhere.
-func (r *Router) mayRetry(req *request, target *endpointState) bool {
+// retryDenied is why a request may not have another attempt; empty: it may. Target is the last attempt's: a
+// repeat that is harmful there is harmful anywhere.
+func (r *Router) retryDenied(req *request, target *endpointState) Reason {
 	answerAt := r.now + durationOf(req.transferSeconds)
-	if answerAt >= req.deadline || !r.hasAttemptsLeft(req) {
-		return false
+	if answerAt >= req.deadline {
+		return ReasonDeadlineExceeded
 	}
-	return r.mayRepeat(req, target)
+	exhausted := r.attemptsExhausted(req)
+	if exhausted != "" {
+		return exhausted
+	}
+	return r.repeatVerdict(req, target).Reason
 }
 
-// hasAttemptsLeft reports whether the limits on attempts and the retry budget leave a request one more.
-func (r *Router) hasAttemptsLeft(req *request) bool {
+// attemptsExhausted is which limit leaves a request no other attempt; empty: none does.
+func (r *Router) attemptsExhausted(req *request) Reason {
 	maxAttempts := r.settings.MaxAttempts
 	if maxAttempts == 0 {
 		maxAttempts = defaultMaxAttempts
 	}
-	withinLimits := len(req.attempts) < maxAttempts && req.failedAttempts < maxFailedAttempts
-	return withinLimits && r.hasRetryBudget()
+	if len(req.attempts) >= maxAttempts || req.failedAttempts >= maxFailedAttempts {
+		return ReasonAttemptsUsed
+	}
+	if !r.hasRetryBudget() {
+		return ReasonNoRetryBudget
+	}
+	return ""
 }
 
 // rejectOrFail gives a request its final answer, unless another attempt may still bring one.
-func (r *Router) rejectOrFail(req *request) {
+func (r *Router) rejectOrFail(req *request, reason Reason) {
 	if req.pendingAttempts > 0 {
 		return
 	}
 	if r.mayReject(req) {
-		r.emit(Reject{ID: req.ID, RetryAfter: r.retryAfter()})
+		r.emit(Reject{ID: req.ID, RetryAfter: r.retryAfter(), Reason: reason})
 	} else {
-		r.emit(Fail{ID: req.ID})
+		r.emit(Fail{ID: req.ID, Reason: reason})
 	}
 	r.finishRequest(req.ID)
 }
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -27,13 +27,13 @@
 func (r *Router) routeUncacheable(req *request, cache *endpointState) {
 	switch {
 	case !r.eligible(r.origin, req):
-		r.rejectOrFail(req)
+		r.rejectOrFail(req, ReasonNoEndpoint)
 	case r.settings.DirectRequests:
 		r.startAttempt(req, r.origin, r.origin)
 	case cache != nil:
 		r.startAttempt(req, cache, r.origin)
 	default:
-		r.rejectOrFail(req)
+		r.rejectOrFail(req, ReasonNoEndpoint)
 	}
 }
 
@@ -41,12 +41,12 @@
 // cache of the zone can be used.
 func (r *Router) routePastCaches(req *request) {
 	if !r.settings.DirectRequests {
-		r.rejectOrFail(req)
+		r.rejectOrFail(req, ReasonNoEndpoint)
 		return
 	}
 	parent := r.chooseParent(req)
 	if parent == nil || !r.eligible(r.origin, req) {
-		r.rejectOrFail(req)
+		r.rejectOrFail(req, ReasonNoEndpoint)
 		return
 	}
 	r.startAttempt(req, parent, r.origin)
--- a/policy/verdict.go
+++ b/policy/verdict.go
@@ -50,6 +50,19 @@
 	ReasonInUse              Reason = "in_use"           // a request may be on its way
 )
 
+// The reasons of answers that serve nothing, beside those of the guards.
+const (
+	ReasonNoEndpoint    Reason = "no_endpoint"     // no endpoint can be used
+	ReasonCongestion    Reason = "congestion"      // load shedding
+	ReasonOriginBusy    Reason = "origin_busy"     // the origin's concurrency limit is reached
+	ReasonAttemptsUsed  Reason = "attempts_used"   // the limit on attempts, or on failed ones, is reached
+	ReasonNoRetryBudget Reason = "no_retry_budget" // the retry budget is used up
+	ReasonUnknownClass  Reason = "unknown_class"   // the request's class is not configured
+	ReasonMalformed     Reason = "malformed"       // the request can't be decoded
+	ReasonTooLarge      Reason = "too_large"       // the request exceeds a limit of its connection
+	ReasonBackpressure  Reason = "backpressure"    // the client did not read its answers in time
+)
+
 // Verdict says whether an action may be carried out. The zero value allows it.
 type Verdict struct {
 	Rule   Rule   // that the action would break
