Soak: use until the kill, signals in series, surges after restarts, spoilt feeds

New kinds: term-in-use (clients use their open connections until the exit), signals (new configurations in a row, then SIGHUP, SIGTERM, SIGINT and SIGHUP), cut-lines, short-lines, half-lines and double-lines (three streams in a row at most). After a crash or a replacement clients make four times the requests for 2 s. Stricter in the checker: requests more than 0.7 s after SIGTERM are owed an answer, and also one that the kill finds unanswered. Several requests that cross one close count as crossing, as a single one did.

--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -167,9 +167,9 @@
 	return q
 }
 
-// closed records which requests were open as the connection ended. A single request that was sent just
-// before, on a connection that had been used, may have met the proxy's close of an idle connection: no answer
-// is owed to it.
+// closed records which requests were open as the connection ended. Where all of them were sent just before, on a
+// connection that had been used, they may have met the proxy's close of an idle connection: no answer is owed to
+// them.
 func (c *clientConn) closed() {
 	c.conn.Close() //nolint:errcheck // the proxy has closed it
 	now := c.h.Now()
@@ -178,11 +178,15 @@
 	open := c.open
 	c.open = map[uint16]*Request{}
 	c.mu.Unlock()
+	raced := true
+	c.h.locked(func() {
+		for _, q := range open {
+			raced = raced && q.SentAt != 0 && !q.FirstOnConnection && now-q.SentAt < idleCloseRace
+		}
+	})
 	for _, q := range open {
-		raced := false
 		c.h.locked(func() {
 			q.DisconnectedAt = now
-			raced = q.SentAt != 0 && !q.FirstOnConnection && now-q.SentAt < idleCloseRace && len(open) == 1
 			q.NoAnswerOwed = q.NoAnswerOwed || raced
 		})
 		c.h.Note("client", "connection %d to proxy-%d ended with %s open (idle close raced: %v)", c.number, c.clients.p.number, q.ID, raced)
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -34,18 +34,15 @@
 
 // proxyClients are the clients of one proxy. Their fields belong to the goroutine of run.
 type proxyClients struct {
-	p            *process
-	h            *History
-	rng          *rand.Rand
-	conns        []*clientConn
-	dialed       int           // connections so far
-	meanInterval time.Duration // between two requests
+	p      *process
+	h      *History
+	rng    *rand.Rand
+	conns  []*clientConn
+	dialed int // connections so far
 }
 
-func newProxyClients(p *process, seed uint64, meanInterval time.Duration) *proxyClients {
-	return &proxyClients{
-		p: p, h: p.r.h, rng: rand.New(rand.NewPCG(seed, uint64(p.number))), meanInterval: meanInterval,
-	}
+func newProxyClients(p *process, seed uint64) *proxyClients {
+	return &proxyClients{p: p, h: p.r.h, rng: rand.New(rand.NewPCG(seed, uint64(p.number)))}
 }
 
 // run makes requests until over is closed.
@@ -54,7 +51,7 @@
 		select {
 		case <-over:
 			return
-		case <-time.After(time.Duration(pc.rng.ExpFloat64() * float64(pc.meanInterval))):
+		case <-time.After(time.Duration(pc.rng.ExpFloat64() * float64(pc.p.r.requestInterval()))):
 		}
 		pc.step()
 	}
--- a/internal/soak/coordinator.go
+++ b/internal/soak/coordinator.go
@@ -21,6 +21,10 @@
 	modeDown                    // connects are refused, streams have ended
 	modeSilent                  // streams stay open and bring nothing
 	modeSlow                    // streams bring one event of the endpoint list a byte at a time
+	modeCut                     // some streams end within the line of an event
+	modeShort                   // some streams stop within the line of an event and stay open
+	modeHalf                    // half of an event's line comes before the whole of it, on some streams
+	modeDouble                  // each event comes twice
 )
 
 // coordinator stands in for the coordinator. It serves each proxy at an address of its own, so that it knows
@@ -67,6 +71,7 @@
 	ws.mode = m
 	ws.modeSetAt = now
 	ws.slowEvent = 0
+	ws.spoiling = newSpoiling(m)
 	if m == modeDown && before != modeDown {
 		ws.closeAll()
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -79,10 +79,15 @@
 // no draw for the clock's offset nor for the seed of failing calls: the remainder of the fault's duration is
 // the index of the one, the fault's time is the other.
 func (r *run) restartProcess(p *process, f Fault) {
-	if f.Kind == "kill" {
+	switch f.Kind {
+	case "kill":
 		p.kill()
-	} else {
-		p.term()
+	case "term-in-use":
+		p.term(untilExit)
+	case "signals":
+		p.signalInSeries(r, f)
+	default:
+		p.term(requestsUntil)
 	}
 	p.environment = nil
 	switch f.Kind {
@@ -138,6 +143,9 @@
 		r.recordFailure(s.restart())
 	}
 	r.announceState(s, "SERVING")
+	if f.Kind == "crash" || f.Kind == "replace" {
+		r.surge()
+	}
 }
 
 func (r *run) injectCoordinatorFault(f Fault) {
@@ -161,9 +169,16 @@
 		r.injectCoordinatorMode(f, modeSilent, 2*f.Duration)
 	case "slow-lines":
 		r.injectCoordinatorMode(f, modeSlow, 2*f.Duration+slowLineTime)
+	default:
+		r.injectCoordinatorMode(f, spoilingModes[f.Kind], 2*f.Duration+notifyWithin)
 	}
 }
 
+// spoilingModes are the modes of the faults that spoil lines.
+var spoilingModes = map[string]coordinatorMode{
+	"cut-lines": modeCut, "short-lines": modeShort, "half-lines": modeHalf, "double-lines": modeDouble,
+}
+
 // injectCoordinatorMode has the coordinator behave badly for some time to every second proxy.
 func (r *run) injectCoordinatorMode(f Fault, m coordinatorMode, length time.Duration) {
 	r.setCoordinatorMode(f, m)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -28,6 +28,8 @@
 	// connsUntil and requestsUntil are how long after SIGTERM clients connect and make requests.
 	connsUntil    = 250 * time.Millisecond
 	requestsUntil = 450 * time.Millisecond
+	// untilExit in place of requestsUntil has clients use their connections until the process has exited.
+	untilExit = time.Hour
 )
 
 // process is one edge proxy: a place in the fleet with one incarnation after another.
@@ -237,8 +239,9 @@
 	p.cmd.Process.Signal(s) //nolint:errcheck // it may have exited
 }
 
-// term ends the present incarnation by SIGTERM, and kills it if it has not exited in time.
-func (p *process) term() {
+// term ends the present incarnation by SIGTERM, and kills it if it has not exited in time. Its clients make
+// requests on open connections for a time after the signal.
+func (p *process) term(requestsFor time.Duration) {
 	p.awaitRunning()
 	p.mu.Lock()
 	incarnation := p.incarnation
@@ -247,7 +250,7 @@
 	p.mu.Unlock()
 	p.signal(syscall.SIGTERM)
 	time.AfterFunc(connsUntil, func() { p.stopConns(incarnation) })
-	time.AfterFunc(requestsUntil, func() { p.stopRequests(incarnation) })
+	time.AfterFunc(requestsFor, func() { p.stopRequests(incarnation) })
 	select {
 	case <-exited:
 	case <-time.After(p.maxShutdown()):
@@ -255,10 +258,8 @@
 	}
 }
 
-// maxShutdown is how long after SIGTERM a process may run.
-func (p *process) maxShutdown() time.Duration {
-	return p.r.limits.MaxDeadline + killAfter + machineSlack
-}
+// maxShutdown is how long after SIGTERM a process may run: the platform kills it no earlier.
+func (p *process) maxShutdown() time.Duration { return longestDeadline + killAfter }
 
 // kill ends the present incarnation by SIGKILL.
 func (p *process) kill() {
--- a/internal/soak/rule_answers.go
+++ b/internal/soak/rule_answers.go
@@ -8,7 +8,7 @@
 const (
 	// answerSlack is how long after a request's timeout its answer may come.
 	answerSlack = 500 * time.Millisecond
-	// acceptAfterSigterm is how long after SIGTERM requests are still owed an answer.
+	// acceptAfterSigterm is how long after SIGTERM a request that is open at the kill is not owed an answer.
 	acceptAfterSigterm = 700 * time.Millisecond
 )
 
@@ -38,7 +38,8 @@
 }
 
 // answerDue returns when the answer to a request is due at the latest. None is owed where the request was not
-// sent in full, was cancelled, came too long after SIGTERM, or its process was killed before.
+// sent in full or was cancelled, or where its process was killed before; but it is where the request came late
+// after SIGTERM and the kill finds it unanswered.
 func (c *historyChecker) answerDue(q *Request) (due time.Duration, owed bool) {
 	incarnation := c.h.incarnation(q.Proxy, q.Incarnation)
 	if q.SentAt == 0 || q.CancelledAt != 0 || q.NoAnswerOwed || incarnation == nil {
@@ -46,7 +47,10 @@
 	}
 	due = incarnation.whileRunning(q.SentAt, q.Timeout+answerSlack+machineSlack)
 	due += c.h.slack(q.SentAt, due) - machineSlack // it is in due already
-	killedBefore := incarnation.KilledAt != 0 && incarnation.KilledAt < due
-	afterSigterm := incarnation.SigtermAt != 0 && q.SentAt > incarnation.SigtermAt+acceptAfterSigterm
-	return due, !killedBefore && !afterSigterm
+	if incarnation.KilledAt == 0 || incarnation.KilledAt >= due {
+		return due, true
+	}
+	lateAfterSigterm := incarnation.SigtermAt != 0 && q.SentAt > incarnation.SigtermAt+acceptAfterSigterm
+	beforeKill := q.SentAt < incarnation.KilledAt-idleCloseRace-c.h.slack(q.SentAt, incarnation.KilledAt)
+	return due, lateAfterSigterm && beforeKill
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cloverdoor/internal/relay"
@@ -11,6 +12,8 @@
 	cacheCount          = 4
 	measureInterval     = 500 * time.Millisecond // between two looks at memory and descriptors
 	meanRequestInterval = 80 * time.Millisecond  // of the clients of one proxy, exponentially distributed
+	surgeFactor         = 4
+	surgeDuration       = slowStartDuration / 2
 	maxRecordedFailures = 100
 )
 
@@ -51,6 +54,7 @@
 	origin      *server
 	fleet       []*process
 	relays      []*relay.Relay
+	surgeUntil  atomic.Int64  // time since the start until which clients make more requests
 	failures    chan error    // of the soak itself
 	over        chan struct{} // closed when the schedule has ended
 }
@@ -109,7 +113,7 @@
 	var clients, background sync.WaitGroup
 	quiet := make(chan struct{})
 	for _, p := range r.fleet {
-		c := newProxyClients(p, r.seed, meanRequestInterval)
+		c := newProxyClients(p, r.seed)
 		clients.Go(func() { c.run(quiet) })
 	}
 	background.Go(func() { r.purgeContinuously(quiet) })
@@ -134,11 +138,25 @@
 func (r *run) terminateFleet() {
 	var proxies sync.WaitGroup
 	for _, p := range r.fleet {
-		proxies.Go(p.term)
+		proxies.Go(func() { p.term(requestsUntil) })
 	}
 	proxies.Wait()
 }
 
+// surge has the clients make surgeFactor times the requests for a while, so that the load on a server in slow start
+// is over twice its budget.
+func (r *run) surge() {
+	r.surgeUntil.Store(int64(r.h.Now() + surgeDuration))
+}
+
+// requestInterval is the mean time between the requests of one proxy's clients at present.
+func (r *run) requestInterval() time.Duration {
+	if int64(r.h.Now()) < r.surgeUntil.Load() {
+		return meanRequestInterval / surgeFactor
+	}
+	return meanRequestInterval
+}
+
 // measure records the memory and the descriptors of all proxies until over is closed.
 func (r *run) measure(over <-chan struct{}) {
 	for {
--- a/internal/soak/watchserver.go
+++ b/internal/soak/watchserver.go
@@ -28,6 +28,7 @@
 	mode      coordinatorMode
 	modeSetAt time.Duration
 	slowEvent int // index of the event that slow streams bring slowly; 0: none yet
+	spoiling  spoiling
 	listener  net.Listener
 	streams   map[net.Conn]bool
 }
@@ -125,14 +126,26 @@
 				continue
 			}
 			lastProgress = time.Now()
+			ws.noteHeartbeat()
 			line = strconv.Itoa(lastIndex)
 		}
-		if !writePaced(conn, line+"\n", ws.byteInterval(event, len(line))) {
+		text, next := ws.spoil(event, line)
+		if !writePaced(conn, text, ws.byteInterval(event, len(line))) {
 			return
 		}
-		if event != nil {
+		switch next {
+		case endStream:
+			return
+		case holdStream:
+			<-ended
+			return
+		case goOnWithout:
 			index++
-			ws.c.recordDelivery(event, ws.proxy)
+		case goOn:
+			if event != nil {
+				index++
+				ws.c.recordDelivery(event, ws.proxy)
+			}
 		}
 	}
 }
