--- a/internal/proxy/adminoperations.go
+++ b/internal/proxy/adminoperations.go
@@ -35,39 +35,39 @@
 func runAdminCall(handler adminHandler, call http1.Request) http1.Response {
 	operation, known := adminOperations[call.Path]
 	if !known {
-		return http1.Response{Status: 404, Body: "no such operation\n"}
+		return http1.Response{Status: statusNotFound, Body: "no such operation\n"}
 	}
 	if call.Method != operation.method {
-		return http1.Response{Status: 405, Allow: operation.method}
+		return http1.Response{Status: statusMethodNotAllowed, Allow: operation.method}
 	}
 	return operation.run(handler)
 }
 
 // answerReadiness answers 200 while the program is serving, otherwise 503.
 func answerReadiness(handler adminHandler) http1.Response {
-	return phaseResponse(handler.currentPhase(), Serving, 503)
+	return phaseResponse(handler.currentPhase(), Serving, statusServiceUnavailable)
 }
 
 // answerStats answers with all figures.
 func answerStats(handler adminHandler) http1.Response {
-	return http1.Response{Status: 200, Body: handler.stats()}
+	return http1.Response{Status: statusOK, Body: handler.stats()}
 }
 
 // answerStartDrain answers 200 if the program is draining now, otherwise 409.
 func answerStartDrain(handler adminHandler) http1.Response {
-	return phaseResponse(handler.startDrain(), Draining, 409)
+	return phaseResponse(handler.startDrain(), Draining, statusConflict)
 }
 
 // answerStopDrain answers 200 if the program is serving now, otherwise 409.
 func answerStopDrain(handler adminHandler) http1.Response {
-	return phaseResponse(handler.stopDrain(), Serving, 409)
+	return phaseResponse(handler.stopDrain(), Serving, statusConflict)
 }
 
 // phaseResponse names the phase, with status 200 if it is the wanted one and otherStatus if it is another.
 func phaseResponse(phase, wanted Phase, otherStatus int) http1.Response {
 	status := otherStatus
 	if phase == wanted {
-		status = 200
+		status = statusOK
 	}
 	return http1.Response{Status: status, Body: phase.String() + "\n"}
 }
--- a/internal/proxy/adminserver.go
+++ b/internal/proxy/adminserver.go
@@ -93,7 +93,7 @@
 	case errors.Is(err, http1.ErrTooLarge):
 		c.respond(http1.Response{Status: 431})
 	case err != nil:
-		c.respond(http1.Response{Status: 400, Body: err.Error() + "\n"})
+		c.respond(http1.Response{Status: statusBadRequest, Body: err.Error() + "\n"})
 	case used > 0:
 		c.respond(runAdminCall(c.server.handler, call))
 	default:
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -96,7 +96,7 @@
 		c.closeWhenDone = c.closeWhenDone || !event.KeepConn
 		to := &responder{conn: c, id: event.ID}
 		c.server.counters.countNotServed(policy.ReasonTooLarge)
-		to.writeError(503, event.Err)
+		to.writeError(statusServiceUnavailable, event.Err)
 	case fastcgi.Abort:
 		c.handleAbort(event.ID)
 	case fastcgi.Reply:
@@ -118,7 +118,7 @@
 	parsed, err := c.server.parse(r)
 	if err != nil {
 		c.server.counters.countNotServed(policy.ReasonMalformed)
-		to.writeError(400, err)
+		to.writeError(statusBadRequest, err)
 		return
 	}
 	if c.mustBlock() {
@@ -143,11 +143,11 @@
 	return max(c.server.loop.SchedulingDelay(maxPollTime), c.conn.QueueingDelay())
 }
 
-// answerHealthCheck answers 200 while the proxy is serving, otherwise 503.
+// answerHealthCheck says whether the proxy is serving.
 func (c *clientConn) answerHealthCheck(to *responder) {
-	status := 503
+	status := statusServiceUnavailable
 	if c.server.lifecycle.phase == Serving {
-		status = 200
+		status = statusOK
 	}
 	to.write(fastcgi.Response{Status: status})
 }
--- a/internal/proxy/responder.go
+++ b/internal/proxy/responder.go
@@ -27,16 +27,16 @@
 func (r *responder) Respond(a Answer) {
 	switch a.Status {
 	case Served:
-		r.write(fastcgi.Response{Status: 200, Headers: versionHeader(a.Version), Body: a.Body})
+		r.write(fastcgi.Response{Status: statusOK, Headers: versionHeader(a.Version), Body: a.Body})
 	case NotModified:
 		headers := append(versionHeader(a.Version), [2]string{"X-Unchanged", "1"})
-		r.write(fastcgi.Response{Status: 200, Headers: headers})
+		r.write(fastcgi.Response{Status: statusOK, Headers: headers})
 	case Rejected:
-		r.write(fastcgi.Response{Status: 503, Headers: retryAfterHeader(a)})
+		r.write(fastcgi.Response{Status: statusServiceUnavailable, Headers: retryAfterHeader(a)})
 	case Overloaded:
 		r.conn.finishRequest(r.id, fastcgi.AppendEnd(nil, r.id, 0, fastcgi.Overloaded))
 	default:
-		r.write(fastcgi.Response{Status: 502})
+		r.write(fastcgi.Response{Status: statusBadGateway})
 	}
 }
 
--- a/internal/proxy/watchplay_test.go
+++ b/internal/proxy/watchplay_test.go
@@ -53,7 +53,6 @@
 	following       bool // the follow line has arrived
 	from            int  // index of the event that the stream follows
 	sent            int  // index of the last event that was written completely
-	openedAt        eventloop.Timestamp
 	lastHeartbeatAt eventloop.Timestamp
 	bytes           int    // written
 	heldUp          string // written while the network holds it up
@@ -164,7 +163,7 @@
 			return
 		}
 		number := len(p.streams)
-		p.streams = append(p.streams, &playedStream{play: p, fd: fd, openedAt: p.clock.now, script: p.script(number)})
+		p.streams = append(p.streams, &playedStream{play: p, fd: fd, script: p.script(number)})
 	}
 }
 
@@ -204,9 +203,6 @@
 	}
 }
 
-// age is for how long the stream has been open.
-func (s *playedStream) age() time.Duration { return s.play.clock.now - s.openedAt }
-
 // write writes a text, unless the watch has closed the stream.
 func (s *playedStream) write(text string) {
 	if s.play.held {
--- a/policy/events.go
+++ b/policy/events.go
@@ -6,7 +6,7 @@
 import "time"
 
 // Event is one of Settings, EndpointUpdate, ClockCorrection, Request, Outcome, StreamStarted, Purge,
-// ClientDisconnected and TimerFired.
+// RequestEnded and TimerFired.
 type Event interface{ apply(r *Router) }
 
 // State is the state of an endpoint in the endpoint list.
