Watch: an event that says nothing is no heartbeat

What callers would see: after an event with an index alone, drains and purges never take effect, and the coordinator is asked five times a second.

Cause: such an event counted as a heartbeat, which shows a gap before itself. The event behind it shows another gap at the same place. Each replaced the other in lastGap, so that none was ever repeated, and each closed the stream.

--- a/internal/proxy/watchstalls_test.go
+++ b/internal/proxy/watchstalls_test.go
@@ -104,3 +104,17 @@
 		t.Errorf("taken: %s", got)
 	}
 }
+
+// Guards against events that are never taken because the one before them says nothing: an event with an index alone
+// is no heartbeat that shows a gap.
+func TestEmptyEventHidesNothing(t *testing.T) {
+	for _, empty := range []string{`{"index":%d}`, `{"index":%d,"endpoints":null}`} {
+		p := newWatchPlay(t, func(int) streamScript { return bringAll })
+		p.run(2 * time.Second)
+		p.publish(empty)
+		p.publish(drainEvent)
+		if took := p.runUntil(3, time.Minute); took >= reportLimit {
+			t.Errorf("%s: the event behind it was taken after %v, with %d streams", empty, took, len(p.streams))
+		}
+	}
+}
--- a/internal/watch/decode.go
+++ b/internal/watch/decode.go
@@ -30,7 +30,7 @@
 }
 
 // UnmarshalJSON decodes what it can of an event: a part that this version does not know must not hide the
-// others. Only an event without an index of its own is an error.
+// others. Only an event without an index of its own is an error. One that says nothing counts as unreadable.
 func (e *Event) UnmarshalJSON(text []byte) error {
 	var number struct {
 		Index int64 `json:"index"`
@@ -46,6 +46,9 @@
 	for name, part := range parts {
 		e.decodePart(name, part)
 	}
+	if e.IsHeartbeat() { // a heartbeat is a line with a number alone
+		e.Unreadable++
+	}
 	return nil
 }
 
