--- a/cmd/edgeproxy/soak_test.go
+++ b/cmd/edgeproxy/soak_test.go
@@ -26,13 +26,13 @@
 	return n
 }
 
-// TestSoak runs fleets of real processes under faults that seeds draw, and checks the rules. CI runs two
+// TestSoak runs fleets of real processes under faults that seeds draw, and checks the rules. CI runs a few
 // short seeds, `make soak` more: the environment says which and how long.
 func TestSoak(t *testing.T) {
 	first := envInt(t, "SEED", 1)
-	seeds := envInt(t, "SEEDS", 2)
+	seeds := envInt(t, "SEEDS", 4)
 	fleet := envInt(t, "FLEET", 10)
-	seconds := envInt(t, "SECONDS", 8)
+	seconds := envInt(t, "SECONDS", 12)
 	violations := 0
 	for seed := first; seed < first+seeds; seed++ {
 		result, err := soak.Run(uint64(seed), soak.Options{
--- a/internal/proxy/coordinatorclock.go
+++ b/internal/proxy/coordinatorclock.go
@@ -54,6 +54,7 @@
 	if notPublishedAt == 0 && reported <= c.toCoordinator(now) {
 		return
 	}
+	c.forgetOldBounds(now)
 	c.addLowerBound(offsetBound{at: now, offset: reported - now})
 	if notPublishedAt != 0 {
 		c.addUpperBound(offsetBound{at: now, offset: reported - notPublishedAt + maxReportDelay})
@@ -67,19 +68,22 @@
 	c.notify(policy.ClockCorrection{Offset: -change})
 }
 
-// addLowerBound adds a lower bound and removes those that are old or no higher.
+// forgetOldBounds removes the bounds that hold no longer.
+func (c *coordinatorClock) forgetOldBounds(now eventloop.Timestamp) {
+	isOld := func(b offsetBound) bool { return now-b.at > maxBoundAge }
+	c.lower = slices.DeleteFunc(c.lower, isOld)
+	c.upper = slices.DeleteFunc(c.upper, isOld)
+}
+
+// addLowerBound adds a lower bound and removes those that are no higher.
 func (c *coordinatorClock) addLowerBound(added offsetBound) {
-	c.lower = slices.DeleteFunc(c.lower, func(b offsetBound) bool {
-		return added.at-b.at > maxBoundAge || b.offset <= added.offset
-	})
+	c.lower = slices.DeleteFunc(c.lower, func(b offsetBound) bool { return b.offset <= added.offset })
 	c.lower = append(c.lower, added)
 }
 
-// addUpperBound adds an upper bound and removes those that are old or no lower.
+// addUpperBound adds an upper bound and removes those that are no lower.
 func (c *coordinatorClock) addUpperBound(added offsetBound) {
-	c.upper = slices.DeleteFunc(c.upper, func(b offsetBound) bool {
-		return added.at-b.at > maxBoundAge || b.offset >= added.offset
-	})
+	c.upper = slices.DeleteFunc(c.upper, func(b offsetBound) bool { return b.offset >= added.offset })
 	c.upper = append(c.upper, added)
 }
 
