--- /dev/null
+++ b/cmd/edgeproxy/coordinatorlines_test.go
@@ -0,0 +1,221 @@
+package main
+
+// This file holds the tests of lines from the coordinator that come slowly, in part, or can't be read.
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestDrainInHalfALine checks that a drain whose line was cut off by the end of the stream takes effect when
+// it is sent again.
+func TestDrainInHalfALine(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	env.sendEvent(endpointEvent(2, false, endpoint("c2", "std", "edge", "SERVING", second.Addr())))
+	drain := `{"index":3,"endpoints":{"version":3,"full":false,"servers":[{"id":"c1","addr":"` + env.cache.Addr().String() +
+		`","zone":"edge","kind":"std","state":"DRAINING","weight":10000}]}}`
+	env.mu.Lock()
+	mustWrite(t, env.watchConn, drain[:len(drain)/2])
+	closeOnce(t, env.watchConn)
+	env.mu.Unlock()
+	got := receive(t, env.followLines, "follow")
+	if got != "follow 2" {
+		t.Errorf("%q", got)
+	}
+	env.sendEvent(drain)
+	env.awaitEventsTaken()
+	env.servedOnlyBy("second")
+}
+
+// TestEndlessLineCountsAsSilence checks that a stream that sends bytes without ending a line is treated as
+// silent.
+func TestEndlessLineCountsAsSilence(t *testing.T) {
+	t.Parallel()
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	env.mu.Lock()
+	feed := env.watchConn
+	env.mu.Unlock()
+	go func() {
+		for _, err := fmt.Fprint(feed, `{"index":2,`); err == nil; _, err = fmt.Fprint(feed, " ") {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	got := receive(t, env.followLines, "follow again")
+	if got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+}
+
+// TestUnreadableEntryCountsAsRemoved checks that the server of a malformed entry, which may have announced a
+// drain, gets no new calls.
+func TestUnreadableEntryCountsAsRemoved(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	broken := endpoint("c1", "std", "edge", "DRAINING", env.cache.Addr())
+	broken["addr"] = "nowhere"
+	env.sendEvent(endpointEvent(2, false, broken, endpoint("c2", "std", "edge", "SERVING", second.Addr())))
+	env.awaitEventsTaken()
+	env.servedOnlyBy("second")
+}
+
+// TestSlowLineIsReceived checks that an event that arrives slowly but steadily is taken: the bytes so far are
+// not discarded.
+func TestSlowLineIsReceived(t *testing.T) {
+	const inAll, step = 6 * time.Second, 100 * time.Millisecond
+	env := newTestEnv(t)
+	env.clock = newManualClock(t)
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	drain := newSlowCoordinator(t, endpointEvent(2, false, endpoint("c1", "std", "edge", "DRAINING", env.cache.Addr())), env.followLines)
+	env.coordinatorVia = func(string) string { return drain.Addr().String() }
+	env.start(endpointEvent(1, true, endpoint("c1", "std", "edge", "SERVING", env.cache.Addr()), endpoint("c2", "std", "edge", "SERVING", second.Addr()),
+		endpoint("o1", "origin", "hub", "SERVING", env.origin.Addr())))
+	env.awaitAlive("200")
+	receive(t, env.followLines, "follow")
+	for range inAll / step {
+		drain.writeNext(1 + len(drain.line)/int(inAll/step))
+		env.clock.advance(step)
+	}
+	env.awaitAlive("200") // a turn of the event loop later: all that came before has been read
+	env.servedOnlyBy("second")
+}
+
+// TestUnknownStateHidesNothing checks that an entry in an unknown state counts as removed, and that the rest
+// of its event and later events are taken without a reconnect.
+func TestUnknownStateHidesNothing(t *testing.T) {
+	env := newTestEnv(t)
+	env.start(endpointEvent(1, true, endpoint("c0", "std", "edge", "RESTING", env.cache.Addr()), endpoint("c1", "std", "edge", "SERVING", env.cache.Addr()),
+		endpoint("o1", "origin", "hub", "SERVING", env.origin.Addr())))
+	env.awaitAlive("200")
+	receive(t, env.followLines, "follow")
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	env.sendEvent(endpointEvent(2, false, endpoint("c1", "std", "edge", "RESTING", env.cache.Addr()), endpoint("c2", "std", "edge", "SERVING", second.Addr()),
+		endpoint("c3", "std", "edge", "SERVING", second.Addr())))
+	env.eventually("the rest of the event is taken", func() bool { return env.metric("svc_registry_entries") == 3 })
+	env.servedOnlyBy("second")
+	env.sendEvent(endpointEvent(3, false, endpoint("c3", "std", "edge", "DELETED", second.Addr())))
+	env.eventually("the next event is taken", func() bool { return env.metric("svc_registry_entries") == 2 })
+	if len(env.followLines) != 0 {
+		t.Errorf("reconnected: %q", <-env.followLines)
+	}
+}
+
+// TestLineThatIsNeverReadable checks that a malformed line is requested once more, in case it was corrupted
+// in transit, and then skipped.
+func TestLineThatIsNeverReadable(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	env.sendEvent("{broken")
+	got := receive(t, env.followLines, "follow again")
+	if got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+	env.sendEvent("{broken")
+	env.sendEvent(endpointEvent(3, false, endpoint("c2", "std", "edge", "SERVING", env.cache.Addr())))
+	env.eventually("the event behind it is taken", func() bool { return env.metric("svc_registry_entries") == 3 })
+	if env.metric("svc_registry_unreadable") != 1 || len(env.followLines) != 0 {
+		t.Errorf("%d unreadable, %d followed", env.metric("svc_registry_unreadable"), len(env.followLines))
+	}
+}
+
+// TestUnknownKindOfEventHidesNothing checks that an event of an unknown kind is skipped without a reconnect.
+func TestUnknownKindOfEventHidesNothing(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	env.sendEvent(`{"index":2,"quota":{"server":"c1","share":0.5}}`)
+	env.sendEvent(endpointEvent(3, false, endpoint("c2", "std", "edge", "SERVING", env.cache.Addr())))
+	env.eventually("the next event is taken", func() bool { return env.metric("svc_registry_entries") == 3 })
+	if len(env.followLines) != 0 || env.metric("svc_registry_unreadable") != 1 {
+		t.Errorf("%d followed, %d unreadable", len(env.followLines), env.metric("svc_registry_unreadable"))
+	}
+}
+
+// TestMissingEventHidesNothing checks that events that are missing after a reconnect too are skipped, and
+// that those behind them are taken.
+func TestMissingEventHidesNothing(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	behind := endpointEvent(4, false, endpoint("c2", "std", "edge", "SERVING", env.cache.Addr()))
+	env.sendEvent(behind)
+	got := receive(t, env.followLines, "follow again")
+	if got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+	env.sendEvent(behind)
+	env.eventually("the event behind the gap is taken", func() bool { return env.metric("svc_registry_entries") == 3 })
+	env.sendEvent("6") // shows that events are missing
+	got = receive(t, env.followLines, "follow again")
+	if got != "follow 4" {
+		t.Errorf("%q", got)
+	}
+	env.sendEvent("6")
+	env.sendEvent(endpointEvent(5, false, endpoint("c3", "std", "edge", "SERVING", env.cache.Addr())))
+	env.eventually("a late event is taken", func() bool { return env.metric("svc_registry_entries") == 4 })
+}
+
+// TestDrainBehindAnUnreadableLine checks that a drain that arrives right behind a malformed line takes effect
+// in the same turn of the event loop.
+func TestDrainBehindAnUnreadableLine(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	env.sendEvent(endpointEvent(2, false, endpoint("c2", "std", "edge", "SERVING", second.Addr())))
+	env.eventually("the second cache is known", func() bool { return env.metric("svc_registry_entries") == 3 })
+	c := env.dial()
+	drain, err := json.Marshal(endpointEvent(4, false, endpoint("c1", "std", "edge", "DRAINING", env.cache.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resume := env.pause()
+	env.sendEvent("{broken\n" + string(drain))
+	for id := range uint16(30) {
+		c.request(id+1, "artes", longTimeoutMS, int(id), "")
+	}
+	resume()
+	for range 30 {
+		a := receive(t, c.answers, "answer")
+		if a.body != "second" {
+			t.Errorf("%+v", a)
+		}
+	}
+	if len(env.cache.calls) > 0 || len(env.followLines) > 0 {
+		t.Errorf("%d calls to the cache that drains, %d reconnects", len(env.cache.calls), len(env.followLines))
+	}
+}
+
+// TestSpoiltDrainIsRequestedAgain guards against a drain that is lost for good: its line was spoilt once in the
+// middle of the input, and was never requested again. It takes effect although newer events were taken before it.
+func TestSpoiltDrainIsRequestedAgain(t *testing.T) {
+	env := startTestEnv(t)
+	receive(t, env.followLines, "follow")
+	second := newStandIn(t)
+	second.answerAll("served", "-", "second")
+	text, err := json.Marshal(endpointEvent(2, false, endpoint("c1", "std", "edge", "DRAINING", env.cache.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	drain := string(text)
+	behind, err := json.Marshal(endpointEvent(3, false, endpoint("c2", "std", "edge", "SERVING", second.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	env.sendEvent(drain[:len(drain)/2] + drain + "\n" + string(behind))
+	env.eventually("the event behind it is taken", func() bool { return env.metric("svc_registry_entries") == 3 })
+	got := receive(t, env.followLines, "follow again")
+	if got != "follow 1" {
+		t.Errorf("%q", got)
+	}
+	env.sendEvent(drain)
+	env.awaitEventsTaken()
+	env.servedOnlyBy("second")
+}
--- a/cmd/edgeproxy/replace_test.go
+++ b/cmd/edgeproxy/replace_test.go
@@ -9,32 +9,44 @@
 	"time"
 )
 
-// TestReplacingTheProcess checks a replacement on a held socket: the old process stops accepting at SIGTERM,
-// answers what it has accepted and exits, and connections in the queue are not lost.
-func TestReplacingTheProcess(t *testing.T) {
-	env := newTestEnv(t)
-	held := listen(t).(*net.TCPListener)
+// startOnHeldSocket starts the program on a clients' socket that the test holds, as the platform does.
+func (env *testEnv) startOnHeldSocket() {
+	env.t.Helper()
+	held := listen(env.t).(*net.TCPListener)
 	socket, err := held.File()
 	if err != nil {
-		t.Fatal(err)
+		env.t.Fatal(err)
 	}
-	defer closeOnce(t, socket)
+	env.t.Cleanup(func() { closeOnce(env.t, socket) })
 	env.heldSocket = socket
 	env.start(fullList(env.cache.Addr(), env.origin.Addr()))
 	env.addr = held.Addr().String()
 	env.awaitAlive("200")
-	oldClient := env.dial()
-	oldClient.request(1, "artes", longTimeoutMS, 1, "")
-	open := receive(t, env.cache.calls, "call")
+}
 
-	old := env.startReplacement()
+// awaitReplacementReady waits until the process that startReplacement has started is ready.
+func (env *testEnv) awaitReplacementReady() {
+	env.t.Helper()
 	env.eventually("the new process is ready", func() bool {
 		conn, err := net.Dial("tcp", env.adminAddr)
 		if err == nil {
-			closeOnce(t, conn)
+			closeOnce(env.t, conn)
 		}
 		return err == nil && env.readiness() == 200
 	})
+}
+
+// TestReplacingTheProcess checks a replacement on a held socket: the old process stops accepting at SIGTERM,
+// answers what it has accepted and exits, and connections in the queue are not lost.
+func TestReplacingTheProcess(t *testing.T) {
+	env := newTestEnv(t)
+	env.startOnHeldSocket()
+	oldClient := env.dial()
+	oldClient.request(1, "artes", longTimeoutMS, 1, "")
+	open := receive(t, env.cache.calls, "call")
+
+	old := env.startReplacement()
+	env.awaitReplacementReady()
 	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -114,25 +126,10 @@
 func TestReplacementServesAllClients(t *testing.T) {
 	const clientConns = testSockets / 3
 	env := newTestEnv(t)
-	held := listen(t).(*net.TCPListener)
-	socket, err := held.File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer closeOnce(t, socket)
-	env.heldSocket = socket
+	env.startOnHeldSocket()
 	env.cache.answerAll("served", "-", "fine")
-	env.start(fullList(env.cache.Addr(), env.origin.Addr()))
-	env.addr = held.Addr().String()
-	env.awaitAlive("200")
 	old := env.startReplacement()
-	env.eventually("the new process is ready", func() bool {
-		conn, err := net.Dial("tcp", env.adminAddr)
-		if err == nil {
-			closeOnce(t, conn)
-		}
-		return err == nil && env.readiness() == 200
-	})
+	env.awaitReplacementReady()
 	if err := old.Process.Signal(syscall.SIGSTOP); err != nil { // the new process alone takes the clients
 		t.Fatal(err)
 	}
--- a/internal/proxy/watchclock_test.go
+++ b/internal/proxy/watchclock_test.go
@@ -57,36 +57,32 @@
 // rightTime is the coordinator's time.
 func (c *clockPlay) rightTime() time.Duration { return c.clock.now - c.wrongBy }
 
-// takePurgeAge plays until a purge has been taken, and returns as how old it counts.
-func (c *clockPlay) takePurgeAge() time.Duration {
+// takeEvent plays until the decision module is notified of an event of one type.
+func takeEvent[E policy.Event](c *clockPlay) (taken E) {
 	c.t.Helper()
 	for range int(10 * time.Second / playStep) {
 		c.proxy.inbox = nil
 		c.step()
 		for _, ev := range c.proxy.inbox {
-			if purge, isPurge := ev.(policy.Purge); isPurge {
-				return purge.Age
+			if wanted, isWanted := ev.(E); isWanted {
+				return wanted
 			}
 		}
 	}
-	c.t.Fatal("no purge was taken")
-	return 0
+	c.t.Fatalf("no %T was taken", taken)
+	return taken
+}
+
+// takePurgeAge plays until a purge has been taken, and returns as how old it counts.
+func (c *clockPlay) takePurgeAge() time.Duration {
+	c.t.Helper()
+	return takeEvent[policy.Purge](c).Age
 }
 
 // takeStart plays until a start has been taken, and returns how long ago it was.
 func (c *clockPlay) takeStart() time.Duration {
 	c.t.Helper()
-	for range int(10 * time.Second / playStep) {
-		c.proxy.inbox = nil
-		c.step()
-		for _, ev := range c.proxy.inbox {
-			if update, isUpdate := ev.(policy.EndpointUpdate); isUpdate {
-				return c.clock.now - update.Endpoints[0].Started
-			}
-		}
-	}
-	c.t.Fatal("no start was taken")
-	return 0
+	return c.clock.now - takeEvent[policy.EndpointUpdate](c).Endpoints[0].Started
 }
 
 // setDown ends all streams, and lets no other bring anything until it is reset.
