Exit: wait for the log's last lines for a quarter of the time that is left before the kill

What operators would see: a process that SIGKILL ends although every request had been answered.

Cause: answers are due 0.2 s before the kill (KillMargin). Where clients use their connections until then, the exit begins in these 0.2 s, and then waited up to 0.2 s more for a log that nobody reads.

--- a/cmd/edgeproxy/main.go
+++ b/cmd/edgeproxy/main.go
@@ -23,7 +23,7 @@
 	startupRetryTimeout  = 5 * time.Second
 	startupRetryInterval = 20 * time.Millisecond
 	// logFlushTimeout is how long the end of the program waits for the last log lines to be written.
-	logFlushTimeout = 200 * time.Millisecond
+	logFlushTimeout = proxy.KillMargin / 4
 	// heapLimitPercent is the part of the process's memory limit that the garbage collector is given. The
 	// rest is for memory that it does not count.
 	heapLimitPercent = 60
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -16,10 +16,10 @@
 	// shutdownAcceptTime is how long after the signal clients may still connect (0.4 s) and send on open
 	// connections (0.2 s more), with a margin.
 	shutdownAcceptTime = 700 * time.Millisecond
-	// killGrace is what the platform adds to the longest deadline before it kills the process, and killMargin
-	// how much earlier everything has been answered.
-	killGrace  = 700 * time.Millisecond
-	killMargin = 200 * time.Millisecond
+	// killGrace is what the platform adds to the longest deadline before it kills the process.
+	killGrace = 700 * time.Millisecond
+	// KillMargin is how much earlier everything has been answered. The rest of the exit has to fit in it.
+	KillMargin = 200 * time.Millisecond
 	// maxShutdownDeadline bounds the longest deadline that the platform waits for; also the default where the
 	// settings name none.
 	maxShutdownDeadline = 3 * time.Second
@@ -90,7 +90,7 @@
 		l.disconnectFrom = l.loop.Now()
 	}
 	platformWaits := min(maxShutdownDeadline, cmp.Or(longestDeadline, maxShutdownDeadline)) + killGrace
-	l.answerBy = l.loop.Now() + platformWaits - killMargin
+	l.answerBy = l.loop.Now() + platformWaits - KillMargin
 	l.rejectFrom = l.answerBy - shutdownRejectTime
 }
 
