Soak: the first request on a connection that was silent for 0.5 s may cross its close

The traces: connection 55 of proxy 3 had been opened 0.6 s before (between connections 54, first used at 5.35 s, and 78 at 5.97 s) and had sent nothing; SIGTERM came to the process behind it at 6.001 s, as its successor was ready, and the request at 6.020 s. Connection 86 of proxy 7 had been open and silent for over 1.5 s, and the request came as it was closed for that.

The soak excused this on connections that had been used alone. It does so now also for a first request more than 0.5 s after the connection was opened; on a younger one the request is owed as before. The timeline shows the age of such connections.

TestRequestThatCrossesAClose holds the cases.

--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -11,6 +11,9 @@
 	// idleCloseRace is how short before the end of an idle connection a request may be sent whose proxy has
 	// not read it.
 	idleCloseRace = 60 * time.Millisecond
+	// freshConnection is for how long after it was opened a connection's first request must not meet a close. Later
+	// the connection counts as idle: a proxy may close it as no request is open on it.
+	freshConnection = 500 * time.Millisecond
 	// keptBodyBytes is how much of an answer's body is recorded.
 	keptBodyBytes = 64
 	// notedBodyBytes is how much of it the timeline shows.
@@ -26,8 +29,9 @@
 	clients     *proxyClients
 	h           *History
 	conn        net.Conn
-	number      int               // among the connections to the proxy, from 1
-	incarnation int               // of the proxy
+	number      int // among the connections to the proxy, from 1
+	incarnation int // of the proxy
+	openedAt    time.Duration
 	texts       map[uint16][]byte // output so far, of readAnswers alone
 
 	mu       sync.Mutex // of the fields below
@@ -41,7 +45,7 @@
 
 func newClientConn(pc *proxyClients, conn net.Conn, incarnation int) *clientConn {
 	return &clientConn{
-		clients: pc, h: pc.h, conn: conn, number: pc.dialed, incarnation: incarnation,
+		clients: pc, h: pc.h, conn: conn, number: pc.dialed, incarnation: incarnation, openedAt: pc.h.Now(),
 		open: map[uint16]*Request{}, answered: map[uint16]*Request{}, texts: map[uint16][]byte{}, lastUsed: pc.h.Now(),
 	}
 }
@@ -167,9 +171,17 @@
 	return q
 }
 
+// mayCrossClose reports whether a request may have crossed the close of its connection, which was idle until then.
+func (c *clientConn) mayCrossClose(q *Request, closedAt time.Duration) bool {
+	if q.SentAt == 0 || closedAt-q.SentAt >= idleCloseRace {
+		return false
+	}
+	return !q.FirstOnConnection || q.SentAt-c.openedAt > freshConnection
+}
+
 // closed records which requests were open as the connection ended. Where all of them were sent just before, on a
-// connection that had been used, they may have met the proxy's close of an idle connection: no answer is owed to
-// them.
+// connection that had been used or silent for a while, they may have met the proxy's close of an idle connection: no
+// answer is owed to them.
 func (c *clientConn) closed() {
 	c.conn.Close() //nolint:errcheck // the proxy has closed it
 	now := c.h.Now()
@@ -181,7 +193,7 @@
 	raced := true
 	c.h.locked(func() {
 		for _, q := range open {
-			raced = raced && q.SentAt != 0 && !q.FirstOnConnection && now-q.SentAt < idleCloseRace
+			raced = raced && c.mayCrossClose(q, now)
 		}
 	})
 	for _, q := range open {
@@ -189,6 +201,7 @@
 			q.DisconnectedAt = now
 			q.NoAnswerOwed = q.NoAnswerOwed || raced
 		})
-		c.h.Note("client", "connection %d to proxy-%d ended with %s open (idle close raced: %v)", c.number, c.clients.p.number, q.ID, raced)
+		c.h.Note("client", "connection %d to proxy-%d, opened %.3f before, ended with %s open (idle close raced: %v)",
+			c.number, c.clients.p.number, (now - c.openedAt).Seconds(), q.ID, raced)
 	}
 }
--- /dev/null
+++ b/internal/soak/clientconn_test.go
@@ -0,0 +1,31 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a soak that blames a proxy for a request that crossed the close of an idle connection, and against
+// one that excuses the loss of any other.
+func TestRequestThatCrossesAClose(t *testing.T) {
+	const closedAt = 10 * time.Second
+	for _, c := range []struct {
+		name     string
+		openedAt time.Duration
+		sentAt   time.Duration
+		first    bool
+		want     bool
+	}{
+		{"on a used connection", time.Second, closedAt - 20*time.Millisecond, false, true},
+		{"read long before", time.Second, closedAt - 100*time.Millisecond, false, false},
+		{"first on a connection that was silent", closedAt - 600*time.Millisecond, closedAt - 20*time.Millisecond, true, true},
+		{"first on a fresh connection", closedAt - 400*time.Millisecond, closedAt - 20*time.Millisecond, true, false},
+		{"not sent in full", time.Second, 0, false, false},
+	} {
+		conn := &clientConn{openedAt: c.openedAt}
+		q := &Request{SentAt: c.sentAt, FirstOnConnection: c.first}
+		if got := conn.mayCrossClose(q, closedAt); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
