Watch: further missing events don't put off the request for earlier ones

What callers would see: while lines keep being spoilt more often than every half a second, a drain that was passed over is not requested again.

The timer stays as it is now where it is due earlier.

Evidence: TestRecoveryIsNotPutOffByFurtherMissingEvents failed before ('event 2 was not taken within 7s; the streams followed from [1]').

Measured: tests of internal/proxy three times.

--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -65,7 +65,8 @@
 	upToDateAt eventloop.Timestamp
 
 	missing       missingEvents
-	recoveryTimer *eventloop.Timer // requests them again
+	recoveryTimer *eventloop.Timer // requests them again; nil: nothing is scheduled
+	recoveryDue   eventloop.Timestamp
 }
 
 // eventGap is a place at which events are missing: those between the two indices.
--- a/internal/proxy/watchrecovery.go
+++ b/internal/proxy/watchrecovery.go
@@ -23,16 +23,28 @@
 	w.scheduleRecovery()
 }
 
-// scheduleRecovery requests missing events again after the delay that is due for the least requested of them.
+// scheduleRecovery requests missing events again after the delay that is due for the least requested of them, or
+// earlier if that was scheduled before.
 func (w *coordinatorWatch) scheduleRecovery() {
+	due := w.loop.Now() + firstRecoveryDelay<<w.missing.fewestRequests()
+	if w.recoveryTimer != nil && w.recoveryDue <= due {
+		return
+	}
+	w.loop.Stop(w.recoveryTimer)
+	w.recoveryDue = due
+	w.recoveryTimer = w.loop.At(due, w.recoverMissing)
+}
+
+// stopRecovery requests nothing again.
+func (w *coordinatorWatch) stopRecovery() {
 	w.loop.Stop(w.recoveryTimer)
-	delay := firstRecoveryDelay << w.missing.fewestRequests()
-	w.recoveryTimer = w.loop.At(w.loop.Now()+delay, w.recoverMissing)
+	w.recoveryTimer = nil
 }
 
 // recoverMissing opens a stream that follows from before the first missing event, in place of the one that was
 // opened for this before. Events that were requested often enough are given up.
 func (w *coordinatorWatch) recoverMissing() {
+	w.recoveryTimer = nil
 	for _, s := range w.streams {
 		if s.recovering {
 			w.closeStream(s)
@@ -62,6 +74,6 @@
 	w.missing.recordTaken(ev)
 	w.log.Warn("coordinator event recovered", "event", ev.Index)
 	if w.missing.isEmpty() {
-		w.loop.Stop(w.recoveryTimer)
+		w.stopRecovery()
 	}
 }
