Review, case 3: clients that read slowly lose whole answers when memory is short

Cause: requests are admitted by what is buffered now, not by the answers to come, and while memory is critical a client that has taken no byte for 200 ms is closed. A client that reads 1 MB a second takes bytes less often than that.

Change: review/3; the stand-ins note which answers have begun, and the memory of the proxy.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -37,6 +37,7 @@
 	Status     string    // of the CGI response, or the protocol status
 	Body       []byte
 	Answers    int
+	Begun      bool      // a part of the answer was read
 	EndedAt    time.Time // when its connection ended without a whole answer
 	EndError   string
 }
@@ -231,6 +232,7 @@
 		switch header[1] {
 		case recordStdout:
 			outputs[id] = append(outputs[id], content...)
+			c.begin(id)
 		case recordEnd:
 			c.finish(id, outputs[id], content)
 			delete(outputs, id)
@@ -238,6 +240,14 @@
 	}
 }
 
+func (c *Conn) begin(id uint16) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.open[id]; r != nil {
+		r.Begun = true
+	}
+}
+
 func (c *Conn) finish(id uint16, output, end []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -133,8 +134,19 @@
 	return p.cmd.Process.Signal(s)
 }
 
-// Pid returns the process id of the proxy.
-func (p *Proxy) Pid() int { return p.cmd.Process.Pid }
+// AnonymousMemory returns how many bytes of its own, without files, the process holds in memory; 0: unknown.
+func (p *Proxy) AnonymousMemory() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	match := regexp.MustCompile(`(?m)^RssAnon:\s+(\d+) kB`).FindSubmatch(text)
+	if match == nil {
+		return 0
+	}
+	kilobytes, _ := strconv.Atoi(string(match[1]))
+	return kilobytes << 10
+}
 
 // Exited reports whether the process has ended.
 func (p *Proxy) Exited() bool {
