Review, case 3: answers to clients that read slowly exceed the memory limit

Need: the earlier form of the case counted lost requests at 32 MB; the graver effect is that the process goes over its memory limit, where the platform kills it.

Change: review/3 uses 64 MB and 32 clients, 940 requests a second for 1.1 s, and plays the platform: it kills the proxy once its own memory, without files, is over memory_mb. Lost requests are still counted.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"cloverdoor/review/standin"
@@ -12,16 +13,16 @@
 
 const (
 	// memoryMB is the memory of the proxy; the pages name 32 to 192 MB.
-	memoryMB = 32
+	memoryMB = 64
 	// clients is how many clients read slowly, each on one connection.
-	clients = 8
+	clients = 32
 	// slowRate is what each of them reads in a second; the pages say 1 MB at the most.
 	slowRate = 950_000
 	// objectBytes is the largest object of the pages.
 	objectBytes = 240_000
-	// pause lies between two requests of one client: all together send 533 requests a second, for half a second. The
-	// pages say up to 950 a second.
-	pause = 15 * time.Millisecond
+	// pause lies between two requests of one client: all together send 940 requests a second, for 1.1 s. The pages say
+	// up to 950 a second.
+	pause = 34 * time.Millisecond
 	// lasting is how long the clients read; one needs 8 s for what it asks.
 	lasting = 14 * time.Second
 )
@@ -59,6 +60,35 @@
 		conns = append(conns, conn)
 	}
 	var asked []*standin.Request
+	end := time.Now().Add(lasting)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		asked = ask(conns, record)
+	}()
+	killed := watchMemory(office, end, func() bool {
+		select {
+		case <-sent:
+			return openRequests(conns) == 0
+		default:
+			return false
+		}
+	})
+	<-sent
+	stillOpen := openRequests(conns)
+	for _, conn := range conns {
+		if !conn.Ended() {
+			conn.Close()
+		}
+	}
+	if stillOpen > 0 {
+		record.Logf("client", "%d requests open at the end of the run", stillOpen)
+	}
+	return judge(record, asked, killed)
+}
+
+// ask sends the requests of all clients.
+func ask(conns []*standin.Conn, record *standin.Record) (asked []*standin.Request) {
 	for n := range standin.MaxOpen {
 		for _, conn := range conns {
 			r := standin.NewRequest("artes", standin.ObjectKey(n), 6*time.Second)
@@ -70,24 +100,25 @@
 		}
 		time.Sleep(pause)
 	}
+	return asked
+}
+
+// watchMemory plays the platform: it kills the proxy if it holds more memory of its own than it may. It returns at a
+// time, or once done. The memory of files is not counted here, though the platform counts it.
+func watchMemory(office *standin.Office, end time.Time, done func() bool) (killed bool) {
 	peak := 0
-	for end := time.Now().Add(lasting); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for ; time.Now().Before(end) && !killed && !done(); time.Sleep(5 * time.Millisecond) {
 		peak = max(peak, office.Proxy.AnonymousMemory())
-		if openRequests(conns) == 0 {
-			break
-		}
-	}
-	record.Logf("platform", "the proxy's own memory without files was %d bytes at the most, its limit is %d", peak, memoryMB<<20)
-	stillOpen := openRequests(conns)
-	for _, conn := range conns {
-		if !conn.Ended() {
-			conn.Close()
+		if peak > memoryMB<<20 {
+			killed = office.Proxy.Signal(syscall.SIGKILL) == nil
 		}
 	}
-	if stillOpen > 0 {
-		record.Logf("client", "%d requests open at the end of the run", stillOpen)
+	office.Record.Logf("platform", "the proxy's own memory without files was %d bytes at the most, its limit is %d",
+		peak, memoryMB<<20)
+	if killed {
+		time.Sleep(time.Second) // the clients read what the system still has for them
 	}
-	return judge(record, asked)
+	return killed
 }
 
 // openRequests returns how many requests are open on connections that have not ended.
@@ -116,28 +147,31 @@
 	return nil
 }
 
-// judge applies the rule: no connection ends without a whole answer to what was taken on it. An answer that has begun
-// counts as failed, as the client can tell that it is not whole.
-func judge(record *standin.Record, asked []*standin.Request) int {
-	lost, begun, answered := 0, 0, 0
-	var last *standin.Request
+// judge applies the rules: a proxy that is killed for memory has crashed, and no connection ends without a whole answer
+// to what was taken on it. An answer that has begun counts as failed, as the client can tell that it is not whole.
+func judge(record *standin.Record, asked []*standin.Request, killed bool) int {
+	lost, begun, answered, open := 0, 0, 0, 0
 	for _, r := range asked {
 		switch {
 		case r.Answers > 0:
 			answered++
 		case r.EndError == "":
-			return record.Finish(standin.ExitNotRun, "request %s has neither an answer nor an end", r.ID)
+			open++
 		case r.Begun:
 			begun++
 		default:
 			lost++
-			last = r
 		}
 	}
-	if lost == 0 {
-		return record.Finish(standin.ExitHeld, "%d answered whole, %d answers broke off", answered, begun)
+	counts := fmt.Sprintf("of %d requests %d were answered whole, %d answers broke off, %d had no byte of an answer when their "+
+		"connection ended, %d are open", len(asked), answered, begun, lost, open)
+	switch {
+	case killed:
+		return record.Finish(standin.ExitBroken, "the proxy went over its memory limit and was killed; %s", counts)
+	case lost > 0:
+		return record.Finish(standin.ExitBroken, "%s", counts)
+	case open > 0:
+		return record.Finish(standin.ExitNotRun, "%s", counts)
 	}
-	return record.Finish(standin.ExitBroken,
-		"%d of %d requests lost: their connections ended before a byte of an answer, the last %s, %.1f s after it was sent (%s); %d more answers broke off",
-		lost, len(asked), last.ID, last.EndedAt.Sub(last.SentAt).Seconds(), last.EndError, begun)
+	return record.Finish(standin.ExitHeld, "%s", counts)
 }
