Log closes of idle client connections, and input that arrives after a close

Change: 'client connection closed, idle' with what is queued and not acknowledged (Info), and 'client input discarded, it arrived after the close' with the bytes (Warn).

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -29,9 +29,10 @@
 	flushScheduled bool   // the connection is in Loop.toFlush
 	interest       uint32 // epoll events that are watched
 
-	unparsed    []byte   // received input that the handler has not consumed
-	outputQueue []output // output that has not been written completely
-	queuedBytes int      // in outputQueue; a message counts only once a part of it has been written
+	unparsed       []byte   // received input that the handler has not consumed
+	discardedBytes int      // see DiscardedBytes
+	outputQueue    []output // output that has not been written completely
+	queuedBytes    int      // in outputQueue; a message counts only once a part of it has been written
 
 	connectTimer    *Timer // fires at the connect timeout; nil for an accepted connection
 	createdAt       Timestamp
@@ -64,6 +65,9 @@
 // UnparsedBytes returns how many bytes of input have been received and not consumed by the handler.
 func (c *Conn) UnparsedBytes() int { return len(c.unparsed) }
 
+// DiscardedBytes returns how many bytes of input were read and discarded after CloseAfterFlush was called.
+func (c *Conn) DiscardedBytes() int { return c.discardedBytes }
+
 // open reports whether the connection can transfer data.
 func (c *Conn) open() bool { return c.connected && !c.closed }
 
--- a/internal/eventloop/input.go
+++ b/internal/eventloop/input.go
@@ -59,7 +59,9 @@
 		c.handleInputEnd()
 		return 0, false
 	}
-	if !c.closing { // while closing the input is discarded
+	if c.closing {
+		c.discardedBytes += n
+	} else {
 		c.addInput(buffer[:n])
 	}
 	if c.closed || c.readingStopped && !c.closing {
--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -32,8 +32,7 @@
 
 // isBackpressured reports whether too many bytes of answers are queued for the client.
 func (c *clientConn) isBackpressured() bool {
-	queuedBytes, _ := c.conn.QueuedOutput()
-	return queuedBytes >= backpressureBytes
+	return c.queuedBytes() >= backpressureBytes
 }
 
 // block holds a request back until the client has read more of its answers.
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -194,8 +194,19 @@
 	c.closeIfDone()
 }
 
-// Closed ends the open requests of a connection that was closed by its client or by a failure.
+// closeIdle closes the connection of a client that has neither sent nor received anything for too long.
+func (c *clientConn) closeIdle() {
+	c.server.log.Info("client connection closed, idle", "connection", c.number, "idle", c.idleTime(),
+		"queued_bytes", c.queuedBytes(), "unacknowledged_bytes", c.conn.UnackedBytes())
+	c.conn.CloseAfterFlush()
+}
+
+// Closed ends the open requests of a connection that was closed by its client or by a failure, or after its output
+// had been written.
 func (c *clientConn) Closed(err error) {
+	if discardedBytes := c.conn.DiscardedBytes(); discardedBytes > 0 {
+		c.server.log.Warn("client input discarded, it arrived after the close", "connection", c.number, "bytes", discardedBytes)
+	}
 	if errors.Is(err, eventloop.ErrWriteStalled) {
 		c.logStalledClose(err, eventloop.MaxQueuedBytes)
 	}
@@ -205,8 +216,7 @@
 // closeStalled closes the connection of a client that has read none of its queued answers for too long; while the
 // memory budget is critical, a shorter time is too long. Its open requests get no answer.
 func (c *clientConn) closeStalled(reason error) {
-	queuedBytes, _ := c.conn.QueuedOutput()
-	c.logStalledClose(reason, queuedBytes)
+	c.logStalledClose(reason, c.queuedBytes())
 	c.conn.Close()
 	c.release(reason)
 }
@@ -240,6 +250,12 @@
 // hasNoOpenRequest reports whether the connection has neither an open request nor a partial one.
 func (c *clientConn) hasNoOpenRequest() bool { return len(c.openRequests) == 0 && !c.decoder.Busy() }
 
+// queuedBytes returns how many bytes of answers have not been written yet.
+func (c *clientConn) queuedBytes() int {
+	queuedBytes, _ := c.conn.QueuedOutput()
+	return queuedBytes
+}
+
 // idleTime returns the time since the last input or answer.
 func (c *clientConn) idleTime() time.Duration {
 	return c.server.loop.Now() - max(c.conn.LastReceived(), c.lastAnsweredAt)
@@ -272,10 +288,9 @@
 // drainInfo returns what policy.MayClose needs to decide whether a connection can be closed because clients
 // are to be disconnected. No answer may be lost, nor anything that the client has sent or is about to send.
 func (c *clientConn) drainInfo() policy.CloseInfo {
-	queuedBytes, _ := c.conn.QueuedOutput()
 	return policy.CloseInfo{
 		OpenRequests:   len(c.openRequests),
-		QueuedBytes:    queuedBytes,
+		QueuedBytes:    c.queuedBytes(),
 		PartialRequest: c.hasPartialRequest(),
 		RecentlyUsed:   c.expectsRequest(),
 		HasUnreadInput: c.conn.HasUnreadInput,
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -66,8 +66,7 @@
 	if len(c.openRequests) > 0 {
 		return true
 	}
-	queuedBytes, _ := c.conn.QueuedOutput()
-	if queuedBytes == 0 {
+	if c.queuedBytes() == 0 {
 		return false
 	}
 	c.conn.CloseAfterFlush()
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -93,8 +93,7 @@
 // queued output. It is called for every connection; policy.MayClose, which makes a system call, then decides about
 // the chosen one only.
 func (c *clientConn) evictable() bool {
-	queuedBytes, _ := c.conn.QueuedOutput()
-	if len(c.openRequests) > 0 || queuedBytes > 0 || c.conn.Ended() {
+	if len(c.openRequests) > 0 || c.queuedBytes() > 0 || c.conn.Ended() {
 		return false
 	}
 	return c.idleTime() > c.evictionClass().minIdleTime()
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -103,7 +103,7 @@
 		return
 	}
 	if !c.conn.Ended() && c.isOverdue() && f.mayClose(c.closeInfo()) {
-		c.conn.CloseAfterFlush()
+		c.closeIdle()
 	}
 }
 
