--- a/internal/proxy/partialrequest_test.go
+++ b/internal/proxy/partialrequest_test.go
@@ -1,12 +1,16 @@
 package proxy
 
-import "testing"
+import (
+	"testing"
+
+	"cloverdoor/internal/eventloop"
+)
 
 // Guards against a memory count that never falls again: the buffered bytes of a closed connection are released,
 // even if they are counted again after its close.
 func TestClosedConnectionReleasesBufferedBytes(t *testing.T) {
 	f := &FastCGIServer{memory: &memoryBudget{}, conns: map[*clientConn]bool{}}
-	c := &clientConn{server: f, openRequests: map[uint16]int64{}}
+	c := &clientConn{conn: &eventloop.Conn{}, server: f, openRequests: map[uint16]int64{}}
 	f.conns[c] = true
 	c.setPartialBytes(1000)
 	c.setPartialBytes(700)
