Clients: no close while a client has yet to receive its answers

Cause: idle time was counted from when the last answer was queued, and closeInfo told MayClose nothing of output on its way; a closing connection discards its input.

Change: Conn.UndeliveredOutput tells what is queued or not acknowledged, and since when nothing was acknowledged. Idle close, the timeouts of partial requests, eviction, the lingering close and the stall timeout of 10 s go by it; drains and evictions also wait, 1 s at most, for what a slow client's system still holds. A client that stops reading is closed after 10 s, also with all its answers in the socket buffer. Two tests let an acknowledgment be noticed before they move the clock on; their checks stay.

--- a/cmd/edgeproxy/disconnect_test.go
+++ b/cmd/edgeproxy/disconnect_test.go
@@ -199,6 +199,40 @@
 	}
 }
 
+// TestRequestOfAClientThatReadsIsServed checks that a request is answered that a client sends while it reads its earlier
+// answers, although the last of them was queued longer ago than an idle connection may be. The request was thrown away
+// unread, as the connection was closing by then.
+func TestRequestOfAClientThatReadsIsServed(t *testing.T) {
+	const unreadFor, step = 7 * time.Second, 50 * time.Millisecond // more than idleTimeout, less than writeStallTimeout
+	env := newTestEnv(t)
+	env.clock = newManualClock(t)
+	env.startWith(env.cache.Addr(), env.origin.Addr())
+	conn, inFlight := newUnreadingClient(env)
+	inFlight.answer("served", "-", "last of the page")
+	env.eventually("all requests are answered", func() bool { return env.metric("svc_open_requests") == 0 })
+	for range unreadFor / step {
+		env.clock.advance(step)
+	}
+	c := &client{conn, make(chan answer, 1000)}
+	c.request(100, "artes", longTimeoutMS, 100, "")
+	go c.readAnswers()
+	receive(t, env.cache.calls, "call").answer("served", "-", "next page")
+	answered := map[uint16]bool{}
+	for range 33 {
+		a := receive(t, c.answers, "answer")
+		if a.id == 0 || a.status != "200" || answered[a.id] {
+			t.Fatalf("got answer %+v after %d others, want one to each of 33 requests", a, len(answered))
+		}
+		answered[a.id] = true
+	}
+	for range unreadFor / step {
+		env.clock.advance(step)
+	}
+	if a := receive(t, c.answers, "close"); a.id != 0 {
+		t.Errorf("got answer %+v, want the close of the idle connection", a)
+	}
+}
+
 // TestIdleConnectionsAreClosed checks that connections that are idle for too long, between requests or with an
 // incomplete request, are closed, except while a request on them waits for its answer.
 func TestIdleConnectionsAreClosed(t *testing.T) {
--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -97,7 +97,6 @@
 		interest:       unix.EPOLLIN | unix.EPOLLRDHUP,
 		createdAt:      l.now,
 		lastReceivedAt: l.now,
-		lastWrittenAt:  l.now,
 		delays: inputDelays{
 			delayBeforeAccept: schedulingDelay,
 			waitedForAccept:   ln.backlogRemains || schedulingDelay > acceptDelayThreshold,
--- a/internal/eventloop/closing.go
+++ b/internal/eventloop/closing.go
@@ -13,8 +13,8 @@
 	// whether the peer has acknowledged all output. The first check comes one interval after the shutdown.
 	lingerInterval = 200 * time.Millisecond
 
-	// maxLinger is the time after the shutdown of its output at which a closing connection gives up waiting for
-	// the peer's acknowledgements; the next check then closes it.
+	// maxLinger is the time without an acknowledgment, from the shutdown of its output on, after which a closing
+	// connection gives up waiting for the peer; the next check then closes it.
 	maxLinger = 10 * time.Second
 )
 
@@ -46,7 +46,8 @@
 }
 
 // CloseAfterFlush closes the connection gracefully: it writes the queued output, shuts down the sending side
-// and waits until the peer has closed the connection or acknowledged all output, or maxLinger has passed.
+// and waits until the peer has closed the connection or acknowledged all output, or has acknowledged none for
+// maxLinger.
 // Closing at once with input unread would reset the connection, and the peer would lose output that is still
 // in transit.
 func (c *Conn) CloseAfterFlush() {
@@ -71,22 +72,24 @@
 		c.Fail(fmt.Errorf("shutdown: %w", err))
 		return
 	}
-	c.linger(c.loop.now + maxLinger)
+	c.delivery.recordShutdown(c.loop.now)
+	c.linger()
 	c.updateInterest()
 }
 
 // linger checks every lingerInterval whether the peer has acknowledged all output, and closes the connection
-// once it has, or at the first check after the deadline.
-func (c *Conn) linger(deadline Timestamp) {
+// once it has, or once it has acknowledged none for maxLinger.
+func (c *Conn) linger() {
 	c.loop.At(c.loop.now+lingerInterval, func() {
-		switch {
-		case c.closed:
+		if c.closed {
 			return
-		case c.UnackedBytes() > 0 && c.loop.now < deadline:
-			c.linger(deadline)
-		default:
-			c.closeAfterReading()
 		}
+		undeliveredBytes, since := c.UndeliveredOutput()
+		if undeliveredBytes > 0 && c.loop.now-since < maxLinger {
+			c.linger()
+			return
+		}
+		c.closeAfterReading()
 	})
 }
 
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -37,10 +37,10 @@
 	connectTimer    *Timer // fires at the connect timeout; nil for an accepted connection
 	createdAt       Timestamp
 	lastReceivedAt  Timestamp     // see LastReceived
-	lastWrittenAt   Timestamp     // when output was last written, or queued while queuedBytes was 0
 	connectDuration time.Duration // see ConnectDuration
 
-	delays inputDelays
+	delays   inputDelays
+	delivery delivery
 }
 
 // Connected reports whether the handshake is complete.
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -24,7 +24,6 @@
 		interest:       unix.EPOLLOUT,
 		createdAt:      l.now,
 		lastReceivedAt: l.now,
-		lastWrittenAt:  l.now,
 	}
 	err = System.Connect(fd, socketAddress(addr))
 	if err != nil && !isOneOf(err, unix.EINPROGRESS, unix.EINTR) { // an interrupted connect continues as well
@@ -57,7 +56,6 @@
 	c.loop.Stop(c.connectTimer)
 	c.connected = true
 	c.lastReceivedAt = c.loop.now
-	c.lastWrittenAt = c.loop.now
 	c.connectDuration = c.Age()
 	c.scheduleFlush()
 }
--- a/internal/eventloop/output.go
+++ b/internal/eventloop/output.go
@@ -1,10 +1,6 @@
 package eventloop
 
-import (
-	"fmt"
-
-	"golang.org/x/sys/unix"
-)
+import "fmt"
 
 const (
 	// MaxQueuedBytes is the maximum queued output of a connection. A connection with more fails with
@@ -26,10 +22,6 @@
 // isPlainBytes reports whether the output was queued by Write, not as a message.
 func (o *output) isPlainBytes() bool { return o.message == nil && o.onWritten == nil }
 
-// QueuedOutput returns how many bytes wait to be written, and the time since which the peer has accepted
-// none. A message counts only once a part of it has been written.
-func (c *Conn) QueuedOutput() (bytes int, since Timestamp) { return c.queuedBytes, c.lastWrittenAt }
-
 // Write queues data, which the caller must not modify any more. It does nothing on an ended connection.
 func (c *Conn) Write(data []byte) {
 	if c.Ended() || len(data) == 0 {
@@ -46,9 +38,7 @@
 }
 
 func (c *Conn) enqueue(o output) {
-	if c.queuedBytes == 0 {
-		c.lastWrittenAt = c.loop.now
-	}
+	c.delivery.recordQueued(c.loop.now, c.queuedBytes)
 	c.addQueuedBytes(len(o.data))
 	c.scheduleFlush()
 	if o.message == nil && c.joinWithLast(o.data) {
@@ -86,15 +76,6 @@
 	c.loop.bufferedBytes += n
 }
 
-// UnackedBytes returns how many written bytes the peer's system has not acknowledged; 0 if that is unknown.
-func (c *Conn) UnackedBytes() int {
-	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // Flush writes queued output at once, as far as the peer accepts it. It is for connections without messages:
 // whether a message is sent is decided at the end of the turn.
 func (c *Conn) Flush() {
@@ -170,7 +151,7 @@
 // It reports whether that is all of data.
 func (c *Conn) recordWritten(data []byte, n int) (complete bool) {
 	head := &c.outputQueue[0] // fetched again: output queued by Encode may have moved the queue
-	c.lastWrittenAt = c.loop.now
+	c.delivery.unackedBytes += n
 	if head.message != nil {
 		message := head.message
 		c.addQueuedBytes(len(data))
--- a/internal/eventloop/system_test.go
+++ b/internal/eventloop/system_test.go
@@ -45,7 +45,13 @@
 // newTestListener listens on loopback.
 func newTestListener(t *testing.T, ensureCapacity func() bool, accept func(*Conn) Handler) *testListener {
 	t.Helper()
-	loop, err := NewLoop(SystemClock())
+	return newTestListenerWithClock(t, SystemClock(), ensureCapacity, accept)
+}
+
+// newTestListenerWithClock listens on loopback, with a loop that takes its time from a clock.
+func newTestListenerWithClock(t *testing.T, clock TimeSource, ensureCapacity func() bool, accept func(*Conn) Handler) *testListener {
+	t.Helper()
+	loop, err := NewLoop(clock)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/abandon_test.go
+++ b/internal/proxy/abandon_test.go
@@ -19,11 +19,13 @@
 		"output not read in time": func(f *proxyFixture, c *clientConn) {
 			c.conn.Write(make([]byte, eventloop.MaxQueuedBytes))
 			f.loop.Flush()
+			f.turn(t, connCheckInterval) // the bytes that fit into the client's socket buffer are acknowledged
 			f.clock.now += writeStallTimeout + connCheckInterval
 		},
 		"lack of memory": func(f *proxyFixture, c *clientConn) {
 			c.conn.Write(make([]byte, eventloop.MaxQueuedBytes))
 			f.loop.Flush()
+			f.turn(t, connCheckInterval)
 			f.clock.now += criticalWriteStallTimeout + connCheckInterval
 			if err := f.loop.Wait(0); err != nil {
 				t.Fatal(err)
--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -32,7 +32,7 @@
 
 // isBackpressured reports whether too many bytes of answers are queued for the client.
 func (c *clientConn) isBackpressured() bool {
-	return c.queuedBytes() >= backpressureBytes
+	return c.conn.QueuedBytes() >= backpressureBytes
 }
 
 // block holds a request back until the client has read more of its answers.
@@ -103,13 +103,23 @@
 		return
 	}
 	c.conn.Flush()
-	if c.isStalledFor(criticalWriteStallTimeout) {
+	if c.isStalled() {
 		c.closeStalled(errMemoryLimit)
 	}
 }
 
-// isStalledFor reports whether the client has read nothing of its queued output for longer than timeout.
+// isStalled reports whether the connection is to be closed as the client receives nothing of its answers. Once it is
+// closing and its queue is empty, the event loop alone limits the wait for the client.
+func (c *clientConn) isStalled() bool {
+	if c.conn.QueuedBytes() == 0 {
+		return !c.conn.Ended() && c.isStalledFor(writeStallTimeout)
+	}
+	return c.isStalledFor(writeStallTimeout) || c.server.memory.critical() && c.isStalledFor(criticalWriteStallTimeout)
+}
+
+// isStalledFor reports whether the client has yet to receive a part of its answers and has received none for longer
+// than timeout.
 func (c *clientConn) isStalledFor(timeout time.Duration) bool {
-	queuedBytes, since := c.conn.QueuedOutput()
-	return queuedBytes > 0 && c.server.loop.Now()-since > timeout
+	undeliveredBytes, since := c.conn.UndeliveredOutput()
+	return undeliveredBytes > 0 && c.server.loop.Now()-since > timeout
 }
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -36,7 +36,6 @@
 	skipBytes       int                 // bytes of a discarded record that have not been received yet
 	incompleteSince eventloop.Timestamp // when the wait for the first request, or the rest of one, began; 0: no wait
 
-	lastAnsweredAt    eventloop.Timestamp // when the last answer was written
 	polledAt          eventloop.Timestamp // when the client was last polled within a turn of the event loop
 	disconnectedSince eventloop.Timestamp // the client closed its sending side after this time; 0: that side is open
 }
@@ -175,7 +174,6 @@
 // finishRequest writes data, the complete answer to a request, and frees the request's id.
 func (c *clientConn) finishRequest(id uint16, data []byte) {
 	delete(c.openRequests, id)
-	c.lastAnsweredAt = c.server.loop.Now()
 	c.decoder.Done(id)
 	c.conn.Write(data)
 	c.closeIfDone()
@@ -197,7 +195,7 @@
 // closeIdle closes the connection of a client that has neither sent nor received anything for too long.
 func (c *clientConn) closeIdle() {
 	c.server.log.Info("client connection closed, idle", "connection", c.number, "idle", c.idleTime(),
-		"queued_bytes", c.queuedBytes(), "unacknowledged_bytes", c.conn.UnackedBytes())
+		"queued_bytes", c.conn.QueuedBytes(), "unacknowledged_bytes", c.conn.UnackedBytes())
 	c.conn.CloseAfterFlush()
 }
 
@@ -216,7 +214,7 @@
 // closeStalled closes the connection of a client that has read none of its queued answers for too long; while the
 // memory budget is critical, a shorter time is too long. Its open requests get no answer.
 func (c *clientConn) closeStalled(reason error) {
-	c.logStalledClose(reason, c.queuedBytes())
+	c.logStalledClose(reason, c.conn.QueuedBytes())
 	c.conn.Close()
 	c.release(reason)
 }
@@ -250,21 +248,25 @@
 // hasNoOpenRequest reports whether the connection has neither an open request nor a partial one.
 func (c *clientConn) hasNoOpenRequest() bool { return len(c.openRequests) == 0 && !c.decoder.Busy() }
 
-// queuedBytes returns how many bytes of answers have not been written yet.
-func (c *clientConn) queuedBytes() int {
-	queuedBytes, _ := c.conn.QueuedOutput()
-	return queuedBytes
+// idleTime returns the time since the client last sent something or received a part of its answers. It is meaningless
+// while the client has yet to receive a part of them.
+func (c *clientConn) idleTime() time.Duration {
+	_, deliveredAt := c.conn.UndeliveredOutput()
+	return c.server.loop.Now() - max(c.conn.LastReceived(), deliveredAt)
 }
 
-// idleTime returns the time since the last input or answer.
-func (c *clientConn) idleTime() time.Duration {
-	return c.server.loop.Now() - max(c.conn.LastReceived(), c.lastAnsweredAt)
+// isReceiving reports whether the client has yet to receive a part of its answers, or probably still reads what its
+// system has received.
+func (c *clientConn) isReceiving() bool {
+	undeliveredBytes, deliveredAt := c.conn.UndeliveredOutput()
+	readingTime := min(c.conn.DeliveryTime(), maxReadingTime)
+	return undeliveredBytes > 0 || c.server.loop.Now()-deliveredAt < readingTime
 }
 
 // isOverdue reports whether the client has exceeded a timeout for sending a request or for being idle. A
-// client with an open request is never overdue.
+// client that waits for an answer, or has yet to receive a part of one, is never overdue.
 func (c *clientConn) isOverdue() bool {
-	if len(c.openRequests) > 0 {
+	if len(c.openRequests) > 0 || c.isReceiving() {
 		return false
 	}
 	idle := c.idleTime()
@@ -282,18 +284,20 @@
 
 // closeInfo returns what policy.MayClose needs to decide whether an idle connection can be closed.
 func (c *clientConn) closeInfo() policy.CloseInfo {
-	return policy.CloseInfo{OpenRequests: len(c.openRequests), HasUnreadInput: c.conn.HasUnreadInput}
-}
-
-// drainInfo returns what policy.MayClose needs to decide whether a connection can be closed because clients
-// are to be disconnected. No answer may be lost, nor anything that the client has sent or is about to send.
-func (c *clientConn) drainInfo() policy.CloseInfo {
 	return policy.CloseInfo{
 		OpenRequests:   len(c.openRequests),
-		QueuedBytes:    c.queuedBytes(),
-		PartialRequest: c.hasPartialRequest(),
-		RecentlyUsed:   c.expectsRequest(),
+		QueuedBytes:    c.conn.QueuedBytes(),
 		HasUnreadInput: c.conn.HasUnreadInput,
 		UnackedBytes:   c.conn.UnackedBytes,
 	}
 }
+
+// drainInfo returns what policy.MayClose needs to decide whether a connection can be closed because clients
+// are to be disconnected. No answer may be lost, nor anything that the client has sent or is about to send. Shortly
+// before the exit clients send no more, and one that has received its answers may read them after the close.
+func (c *clientConn) drainInfo() policy.CloseInfo {
+	info := c.closeInfo()
+	info.PartialRequest = c.hasPartialRequest()
+	info.RecentlyUsed = c.expectsRequest() || c.isReceiving() && !c.server.lifecycle.exiting()
+	return info
+}
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -66,7 +66,7 @@
 	if len(c.openRequests) > 0 {
 		return true
 	}
-	if c.queuedBytes() == 0 {
+	if c.conn.QueuedBytes() == 0 {
 		return false
 	}
 	c.conn.CloseAfterFlush()
--- a/internal/proxy/disconnect_test.go
+++ b/internal/proxy/disconnect_test.go
@@ -203,6 +203,9 @@
 	}
 	f.p.answer(a.req, Answer{Status: Failed})
 	f.loop.Flush()
+	for c := range server.conns {
+		f.awaitDelivery(t, c)
+	}
 	f.clock.now += 2 * idleTimeout
 	f.turnUntil(t, func() bool {
 		f.loop.Flush()
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -89,11 +89,11 @@
 	c.release(errEvicted)
 }
 
-// evictable reports whether the connection is a candidate: idle for long enough, with no open request and no
-// queued output. It is called for every connection; policy.MayClose, which makes a system call, then decides about
-// the chosen one only.
+// evictable reports whether the connection is a candidate: idle for long enough, with no open request and
+// no answer that its client has yet to receive. It is called for
+// every connection; policy.MayClose, which makes system calls, then decides about the chosen one only.
 func (c *clientConn) evictable() bool {
-	if len(c.openRequests) > 0 || c.queuedBytes() > 0 || c.conn.Ended() {
+	if len(c.openRequests) > 0 || c.conn.Ended() || c.isReceiving() {
 		return false
 	}
 	return c.idleTime() > c.evictionClass().minIdleTime()
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -11,12 +11,16 @@
 )
 
 const (
-	// writeStallTimeout is the time after which the connection of a client that reads nothing of its queued answers
-	// is closed.
+	// writeStallTimeout is the time after which the connection of a client that receives nothing of its answers is
+	// closed.
 	writeStallTimeout = 10 * time.Second
-	// criticalWriteStallTimeout replaces writeStallTimeout while the memory budget is critical.
+	// criticalWriteStallTimeout replaces writeStallTimeout for clients with queued answers while the memory budget is
+	// critical.
 	criticalWriteStallTimeout = 200 * time.Millisecond
-	// idleTimeout is the longest time that a connection may go without input from the client or an answer to it.
+	// maxReadingTime is the longest time for which a client counts as reading after its system has received all answers.
+	maxReadingTime = time.Second
+	// idleTimeout is the longest time that a connection may go without input from the client, counted from when the
+	// client's system has received all answers.
 	// Clients close idle connections after 4 s: a client that has not done so has probably vanished, and its
 	// connection would occupy a descriptor. A connection with open requests is kept: policy.MayClose denies its close.
 	idleTimeout = 5 * time.Second
@@ -98,7 +102,7 @@
 // overdue.
 func (f *FastCGIServer) checkConn(c *clientConn) {
 	c.rejectOverdueBlocked(f.loop.Now())
-	if c.isStalledFor(writeStallTimeout) || f.memory.critical() && c.isStalledFor(criticalWriteStallTimeout) {
+	if c.isStalled() {
 		c.closeStalled(eventloop.ErrWriteStalled)
 		return
 	}
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -101,6 +101,9 @@
 	return (l.phase == Draining || l.phase == Stopping) && l.loop.Now() >= l.disconnectFrom
 }
 
+// exiting reports whether a shutdown has come so far that new requests are rejected.
+func (l *lifecycle) exiting() bool { return l.phase == Stopping && l.rejecting() }
+
 // rejecting reports whether new requests must be rejected now. Without rejections, clients that always have an open
 // request would never be disconnected.
 func (l *lifecycle) rejecting() bool { return l.disconnecting() && l.loop.Now() >= l.rejectFrom }
