Memory: reserve the expected answers, and record that steady readers are not stalled

Change: the budget reserves the mean answer of the class for each open request; a request is rejected where what is buffered and reserved would exceed the limit.

--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -9,18 +9,26 @@
 const (
 	rejectDivisor    = 4 // at 1/4 of the limit new requests are rejected
 	criticalMultiple = 2 // at 2 * 1/4 = 1/2 of the limit partial requests are rejected and stalled clients closed
+	expectedMultiple = 4 // at 4 * 1/4 = all of the limit, expected answers included, new requests are rejected
 )
 
-// memoryBudget counts the bytes that are buffered for clients and caches, and says when there are too many.
+// answerSizeWeight is the weight of the latest answer in the moving average of the sizes.
+const answerSizeWeight = 1.0 / 16
+
+// memoryBudget counts the bytes that are buffered for clients and caches, and those of the answers that are still to
+// come, and says when there are too many.
 type memoryBudget struct {
 	loop            *eventloop.Loop // its buffers count too
 	rejectAt        int             // number of buffered bytes at which new requests are rejected
 	requestBodies   int             // bytes of the open requests' bodies
 	partialRequests int             // bytes of partial requests, and of requests blocked by backpressure
+	expectedAnswers int             // bytes of the answers that are expected to the open requests
+
+	meanAnswerBytes map[string]float64 // moving average of the sizes of served answers, by class
 }
 
 func newMemoryBudget(loop *eventloop.Loop, limitBytes int) *memoryBudget {
-	return &memoryBudget{loop: loop, rejectAt: limitBytes / rejectDivisor}
+	return &memoryBudget{loop: loop, rejectAt: limitBytes / rejectDivisor, meanAnswerBytes: map[string]float64{}}
 }
 
 // buffered returns the total number of buffered bytes.
@@ -28,8 +36,33 @@
 	return m.loop.BufferedBytes() + m.requestBodies + m.partialRequests
 }
 
-// full reports whether new requests are to be rejected.
-func (m *memoryBudget) full() bool { return m.buffered() >= m.rejectAt }
+// reserveAnswer adds the size that is expected of the answer to a request of a class, and returns it. It is 0 as long
+// as no request of the class has been served.
+func (m *memoryBudget) reserveAnswer(class string) (expectedBytes int) {
+	expectedBytes = int(m.meanAnswerBytes[class])
+	m.expectedAnswers += expectedBytes
+	return expectedBytes
+}
+
+// releaseAnswer removes what reserveAnswer has added for a request that has ended.
+func (m *memoryBudget) releaseAnswer(expectedBytes int) { m.expectedAnswers -= expectedBytes }
+
+// observeAnswer records the size of a served answer.
+func (m *memoryBudget) observeAnswer(class string, bytes int) {
+	mean, known := m.meanAnswerBytes[class]
+	if !known {
+		m.meanAnswerBytes[class] = float64(bytes)
+		return
+	}
+	m.meanAnswerBytes[class] = mean + answerSizeWeight*(float64(bytes)-mean)
+}
+
+// full reports whether new requests are to be rejected: too much is buffered, or would be if the clients read none of
+// the answers to the open requests.
+func (m *memoryBudget) full() bool {
+	buffered := m.buffered()
+	return buffered >= m.rejectAt || buffered+m.expectedAnswers >= expectedMultiple*m.rejectAt
+}
 
 // critical reports whether partial requests are to be rejected and connections of stalled clients closed.
 func (m *memoryBudget) critical() bool { return m.buffered() > criticalMultiple*m.rejectAt }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -29,16 +29,17 @@
 // request is one client request, from its admission until it is finished and its last attempt has ended.
 type request struct {
 	Request
-	number       int64 // identifies the request in the decision module's events and actions
-	responder    Responder
-	idempotency  policy.Idempotency
-	deadline     eventloop.Timestamp // the final answer must have been written by then
-	timer        *eventloop.Timer    // fires at the deadline
-	attempts     []*attempt          // in the order in which they were started
-	openAttempts int                 // attempts that have not ended
-	routed       bool                // the decision module has processed it and its first actions have been executed
-	finished     bool                // answered, or given up by the client
-	record       requestRecord       // the invariant checker's record of the request
+	number        int64 // identifies the request in the decision module's events and actions
+	responder     Responder
+	idempotency   policy.Idempotency
+	deadline      eventloop.Timestamp // the final answer must have been written by then
+	timer         *eventloop.Timer    // fires at the deadline
+	attempts      []*attempt          // in the order in which they were started
+	openAttempts  int                 // attempts that have not ended
+	routed        bool                // the decision module has processed it and its first actions have been executed
+	finished      bool                // answered, or given up by the client
+	expectedBytes int                 // size that is reserved for the answer in the memory budget
+	record        requestRecord       // the invariant checker's record of the request
 }
 
 // isIdempotent reports whether the request may be executed any number of times.
@@ -100,6 +101,7 @@
 	p.requests[q.number] = q
 	p.openRequests++
 	p.memory.requestBodies += len(q.Body)
+	q.expectedBytes = p.memory.reserveAnswer(q.ClassName)
 	q.timer = p.loop.At(q.deadline, func() { p.expire(q) })
 	return q
 }
@@ -147,6 +149,9 @@
 		p.counters.countNotServed(a.Reason)
 	}
 	p.finish(q)
+	if a.Status == Served {
+		p.memory.observeAnswer(q.ClassName, len(a.Body))
+	}
 	p.invariants.checkFinalAnswer(q, a.Status)
 	p.counters.countOutcome(q.ClassName, a.Status.outcome())
 	q.responder.Respond(p.config.applyRetryAfterSetting(a))
@@ -232,6 +237,7 @@
 func (p *Proxy) finish(q *request) {
 	q.finished = true
 	p.openRequests--
+	p.memory.releaseAnswer(q.expectedBytes)
 	p.releaseIfDone(q)
 }
 
--- a/internal/proxy/slowreader_test.go
+++ b/internal/proxy/slowreader_test.go
@@ -132,6 +132,30 @@
 	}
 }
 
+// Guards against steady readers that are closed as stalled while memory is short (review/2): the time was counted from
+// the last write, and a write comes only once a third of the socket buffer is free. A client that does not read is
+// still closed.
+func TestSteadyReaderIsNotStalledWhenMemoryIsShort(t *testing.T) {
+	const size = 12 << 20
+	f := newProxyFixture(t)
+	c := f.soleConn(t)
+	f.answerAtOnce(t, c, size)
+	f.p.memory.rejectAt = 0
+	for total := 0; total < size/2; {
+		total += f.read(t, int(slowReaderRate*connCheckInterval.Seconds()))
+		f.turn(t, connCheckInterval)
+		if c.openRequests == nil {
+			t.Fatalf("closed when the client had read %d of %d bytes", total, size)
+		}
+	}
+	for range 2 * criticalWriteStallTimeout / connCheckInterval {
+		f.turn(t, connCheckInterval)
+	}
+	if c.openRequests != nil {
+		t.Error("the connection is open although its client has stopped reading")
+	}
+}
+
 // Guards against an eviction that loses answers and the next request: a client whose answers are in the socket buffers
 // is not idle.
 func TestClientThatReadsIsNotEvicted(t *testing.T) {
