Purges: no tolerance for the age of a copy that a purge limits

Cause: maxAgeTolerance, meant for rounded ages, was taken off limits by a purge as well. Change: policy.Fetch.PurgeAge says how long ago the last purge was; attempt.oldestCopy grants the tolerance to the class's limit alone. Copies from the purge's own millisecond are turned down. Measured: TestCopyFromJustBeforeAPurgeIsNotServed fails on (no further call in 20 s) and passes; the tests of policy, internal/proxy and internal/simwire pass.

--- a/cmd/edgeproxy/coordinator_test.go
+++ b/cmd/edgeproxy/coordinator_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+// TestCopyFromJustBeforeAPurgeIsNotServed guards against a copy that is a millisecond or two older than a purge: the
+// tolerance for rounded ages let it pass. A copy from the purge's own millisecond may be older than the purge, too.
+func TestCopyFromJustBeforeAPurgeIsNotServed(t *testing.T) {
+	for _, madeBefore := range []int64{2, 1, 0} { // milliseconds
+		env := startTestEnv(t)
+		receive(t, env.followLines, "follow")
+		purgedAt := time.Now().Add(-300 * time.Millisecond).UnixMilli()
+		env.sendEvent(fmt.Sprintf(`{"index":2,"evict":{"ref":"0000000000000001","unix_ms":%d}}`, purgedAt))
+		env.awaitEventsApplied()
+		c := env.dial()
+		c.request(1, "artes", longTimeoutMS, 1, "")
+		receive(t, env.cache.calls, "call").answer("served", fmt.Sprintf("etag=a,note=TCP_JOIN,made=%d", purgedAt-madeBefore), "old")
+		receive(t, env.cache.calls, "further call").answer("served", fmt.Sprintf("etag=b,note=TCP_MISS,made=%d", purgedAt+1), "new")
+		if a := receive(t, c.answers, "answer"); a.status != "200" || a.body != "new" {
+			t.Errorf("%d ms before the purge: got answer %+v, want the copy from after it", madeBefore, a)
+		}
+	}
+}
+
 // TestWatchReconnects checks that the watch reconnects, from the last event that was applied, after a malformed line,
 // a gap, an index that shows missing events, the end of the stream and silence, and that repeated events are dropped.
 func TestWatchReconnects(t *testing.T) {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -18,8 +18,8 @@
 	// states the time left to its deadline, which must be out of date by no more than 0.15 s when the server
 	// has read the call.
 	maxPartialWriteTime = 100 * time.Millisecond
-	// maxAgeTolerance is the time by which the age of a copy may exceed its limit, as both are rounded to
-	// milliseconds.
+	// maxAgeTolerance is the time by which the age of a copy may exceed the limit that its class sets, as both are
+	// rounded to milliseconds.
 	maxAgeTolerance = 2 * time.Millisecond
 )
 
@@ -49,13 +49,25 @@
 		return nil, false
 	}
 	a.source = fetch.Source
-	if fetch.MaxAge > 0 {
-		a.oldestCopyMillis = (a.p.clock.toCoordinator(now) - fetch.MaxAge - maxAgeTolerance).Milliseconds()
-	}
+	a.oldestCopyMillis = a.oldestCopy(fetch, now).Milliseconds()
 	call := a.call(fetch, now)
 	return resp.AppendCall(nil, &call), true
 }
 
+// oldestCopy returns the earliest creation time of a copy that is accepted as the answer to a call that is sent at the
+// time now, in the coordinator's time; 0: any time. A limit by a purge has no tolerance: a copy that exceeds it by any
+// time may be older than the purge.
+func (a *attempt) oldestCopy(fetch policy.Fetch, now eventloop.Timestamp) eventloop.Timestamp {
+	var oldest eventloop.Timestamp
+	if fetch.MaxAge > 0 {
+		oldest = a.p.clock.toCoordinator(now) - fetch.MaxAge - maxAgeTolerance
+	}
+	if fetch.PurgeAge > 0 {
+		oldest = max(oldest, a.p.clock.toCoordinator(now)-fetch.PurgeAge)
+	}
+	return oldest
+}
+
 // call returns the call to send at the time now, with the parameters of fetch, which the decision module has given.
 func (a *attempt) call(fetch policy.Fetch, now eventloop.Timestamp) resp.Call {
 	call := resp.Call{
--- a/policy/actions.go
+++ b/policy/actions.go
@@ -15,6 +15,7 @@
 	Source               string        // fills a miss; Target itself if nothing is filled
 	RetentionRank        int           // of the filled copy, see fetchoptions.go; 0: it is not cached
 	MaxAge               time.Duration // maximum age of a copy; 0: the class's FreshFor
+	PurgeAge             time.Duration // time since a recent purge: an older copy must not be used; 0: no such purge
 	CoalesceFill         bool          // a miss may wait for a fill that is in progress
 	SourceCachedOnly     bool          // the source answers only with what it has cached
 	StaleWhileRevalidate bool          // a stale copy is served and refreshed in the background
--- a/policy/fetchoptions.go
+++ b/policy/fetchoptions.go
@@ -53,6 +53,7 @@
 	if !purgedRecently {
 		return
 	}
+	fetch.PurgeAge = sincePurge
 	maxAge := fetch.MaxAge
 	if maxAge == 0 {
 		maxAge = a.request.class.FreshFor
