Tests: TestReplacementServesAllClients waits until the old process has stopped

Change: testEnv.pauseProcess, taken out of pause, waits until each thread is stopped. The test's checks stay.

--- a/cmd/edgeproxy/env_test.go
+++ b/cmd/edgeproxy/env_test.go
@@ -275,11 +275,17 @@
 // meanwhile at once.
 func (env *testEnv) pause() (resume func()) {
 	env.t.Helper()
-	if err := env.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+	return env.pauseProcess(env.cmd.Process)
+}
+
+// pauseProcess stops all threads of a process until resume is called.
+func (env *testEnv) pauseProcess(process *os.Process) (resume func()) {
+	env.t.Helper()
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
 		env.t.Fatal(err)
 	}
 	env.eventually("all threads have stopped", func() bool {
-		tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", env.cmd.Process.Pid))
+		tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", process.Pid))
 		for _, task := range tasks {
 			status, err := os.ReadFile(task)
 			if err == nil && !strings.Contains(string(status), "State:\tT") {
@@ -290,7 +296,7 @@
 	})
 	return func() {
 		env.t.Helper()
-		if err := env.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		if err := process.Signal(syscall.SIGCONT); err != nil {
 			env.t.Fatal(err)
 		}
 	}
--- a/cmd/edgeproxy/replace_test.go
+++ b/cmd/edgeproxy/replace_test.go
@@ -132,9 +132,7 @@
 	env.cache.answerAll("served", "-", "fine")
 	oldCmd := env.startReplacement()
 	env.awaitReplacementReady()
-	if err := oldCmd.Process.Signal(syscall.SIGSTOP); err != nil { // only the new process accepts the clients
-		t.Fatal(err)
-	}
+	resume := env.pauseProcess(oldCmd.Process) // only the new process accepts the clients
 	var clients []*client
 	for range clientConns {
 		c := env.dial()
@@ -149,9 +147,7 @@
 	if descriptors > testSockets {
 		t.Errorf("both processes hold %d descriptors, the limit is %d", descriptors, testSockets)
 	}
-	if err := oldCmd.Process.Signal(syscall.SIGCONT); err != nil {
-		t.Fatal(err)
-	}
+	resume()
 	clients[0].request(2, "artes", longTimeoutMS, 1, "")
 	if a := receive(t, clients[0].answers, "answer on the first connection"); a.body != "fine" {
 		t.Errorf(`got answer %+v, want body "fine"`, a)
