Clients: ask the system for acknowledgments once a turn, and not while no timeout can have passed

Cause: a check of a connection asked up to three times. Change: Conn.UndeliveredOutput asks once in a turn; clientConn.isStalledFor asks only once its timeout may have passed.

--- a/internal/eventloop/delivery.go
+++ b/internal/eventloop/delivery.go
@@ -10,6 +10,7 @@
 // remain in this host's socket buffer for seconds while the peer reads slowly.
 type delivery struct {
 	unackedBytes int           // written and, when last checked, not acknowledged; a shutdown counts as one byte
+	checkedAt    Timestamp     // when the system was last asked
 	progressAt   Timestamp     // see UndeliveredOutput
 	waitingSince Timestamp     // when the first output was queued that was not acknowledged when last checked
 	duration     time.Duration // see DeliveryTime
@@ -30,17 +31,22 @@
 // UndeliveredOutput returns how many bytes of output are queued, or written and not acknowledged by the peer's system,
 // and the time since which it has acknowledged none of them. If there are none, since is the time at which that was
 // noticed. Acknowledgments are noticed by calls of this method, so it has to be called at regular intervals. It makes
-// a system call unless all output was acknowledged at the last call and none has been written since.
+// at most one system call in a turn, and none if all output was acknowledged at the last call and none has been
+// written since.
 //
 // The peer may still have to read what its system has acknowledged: as much as its receive buffer holds.
 func (c *Conn) UndeliveredOutput() (bytes int, since Timestamp) {
-	if c.delivery.unackedBytes > 0 {
-		unackedBytes := c.UnackedBytes()
-		c.delivery.recordAcknowledged(c.loop.now, unackedBytes, c.queuedBytes)
+	if c.delivery.unackedBytes > 0 && c.delivery.checkedAt != c.loop.now {
+		c.delivery.checkedAt = c.loop.now
+		c.delivery.recordAcknowledged(c.loop.now, c.UnackedBytes(), c.queuedBytes)
 	}
 	return c.queuedBytes + c.delivery.unackedBytes, c.delivery.progressAt
 }
 
+// LastProgress returns since in the result of the last call of UndeliveredOutput, or when output began to wait if that
+// is later. It makes no system call.
+func (c *Conn) LastProgress() Timestamp { return c.delivery.progressAt }
+
 // DeliveryTime returns how long it took, when UndeliveredOutput last found all output acknowledged, from the queueing
 // of the first of it to that. A peer that reads slowly may take as long again to read what its system still holds.
 func (c *Conn) DeliveryTime() time.Duration { return c.delivery.duration }
--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -120,6 +120,10 @@
 // isStalledFor reports whether the client has yet to receive a part of its answers and has received none for longer
 // than timeout.
 func (c *clientConn) isStalledFor(timeout time.Duration) bool {
+	now := c.server.loop.Now()
+	if now-c.conn.LastProgress() <= timeout {
+		return false
+	}
 	undeliveredBytes, since := c.conn.UndeliveredOutput()
-	return undeliveredBytes > 0 && c.server.loop.Now()-since > timeout
+	return undeliveredBytes > 0 && now-since > timeout
 }
