soak: a first request that a crowded proxy never received may cross the eviction of its connection

Cause: the soak blamed a proxy for each first request on a connection younger than 0.5 s. Change: the client asks its system (TCP_INFO) whether any byte it sent was acknowledged; only if none was, and idle clients are connected, the loss is excused.

--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -12,7 +14,8 @@
 	// request that the proxy no longer reads.
 	idleCloseRaceWindow = 60 * time.Millisecond
 	// unusedIdleAge is the age from which an unused connection counts as idle. From that age on, the proxy may close
-	// it, because no request is open on it; a first request that is sent earlier must be answered.
+	// it, because no request is open on it; a first request that is sent earlier must be answered, unless idle clients
+	// fill the proxy's descriptors and the request was never received (see connEnd).
 	unusedIdleAge = 500 * time.Millisecond
 	// keptBodyBytes is the maximum number of bytes of an answer's body that are recorded.
 	keptBodyBytes = 64
@@ -176,21 +179,57 @@
 	return req
 }
 
+// connEnd is how a connection ended, as its client saw it.
+type connEnd struct {
+	at       time.Duration
+	received bool // the proxy's system has acknowledged at least one byte of the client's
+	crowded  bool // idle clients filled the proxy's descriptors then
+}
+
 // mayRaceIdleClose reports whether the proxy may have closed the connection as idle before it read a request: the
 // request was sent in full less than idleCloseRaceWindow before the close, and is not the first one on a connection
-// younger than unusedIdleAge.
-func (c *clientConn) mayRaceIdleClose(req *Request, closedAt time.Duration) bool {
-	if req.SentAt == 0 || closedAt-req.SentAt >= idleCloseRaceWindow {
+// younger than unusedIdleAge. A proxy whose descriptors are filled by idle clients may close a younger one too, but only
+// before anything on it was received.
+func (c *clientConn) mayRaceIdleClose(req *Request, end connEnd) bool {
+	if req.SentAt == 0 || end.at-req.SentAt >= idleCloseRaceWindow {
 		return false
 	}
-	return !req.FirstOnConnection || req.SentAt-c.openedAt > unusedIdleAge
+	if !req.FirstOnConnection || req.SentAt-c.openedAt > unusedIdleAge {
+		return true
+	}
+	return end.crowded && !end.received
+}
+
+// synBytes is what Linux counts as acknowledged for the SYN of a connection.
+const synBytes = 1
+
+// received reports whether the proxy's system has acknowledged a byte that was written to a connection; true if that
+// is unknown.
+func received(conn net.Conn) bool {
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	known, acknowledged := false, uint64(0)
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			known, acknowledged = true, info.Bytes_acked
+		}
+	})
+	return err != nil || !known || acknowledged > synBytes
 }
 
 // recordClose records which requests were open when the connection ended. If all of them may have raced with the
 // proxy's close of an idle connection, they require no answer.
 func (c *clientConn) recordClose() {
-	c.conn.Close() //nolint:errcheck // the proxy has closed it
 	now := c.history.Now()
+	end := connEnd{at: now, received: received(c.conn), crowded: c.clients.proxy.idleCrowds.Load() > 0}
+	c.conn.Close() //nolint:errcheck // the proxy has closed it
 	c.mu.Lock()
 	c.ended = true
 	openRequests := c.openRequests
@@ -199,7 +238,7 @@
 	raced := true
 	c.history.withLock(func() {
 		for _, req := range openRequests {
-			raced = raced && c.mayRaceIdleClose(req, now)
+			raced = raced && c.mayRaceIdleClose(req, end)
 		}
 	})
 	for _, req := range openRequests {
@@ -207,7 +246,7 @@
 			req.DisconnectedAt = now
 			req.AnswerNotRequired = req.AnswerNotRequired || raced
 		})
-		c.history.Logf("client", "connection %d to proxy-%d, opened %.3f s before, ended with %s open (raced with an idle close: %v)",
-			c.number, c.clients.proxy.number, (now - c.openedAt).Seconds(), req.ID, raced)
+		c.history.Logf("client", "connection %d to proxy-%d, opened %.3f s before, ended with %s open (raced with an idle close: %v, received: %v, crowded: %v)",
+			c.number, c.clients.proxy.number, (now - c.openedAt).Seconds(), req.ID, raced, end.received, end.crowded)
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -42,9 +43,10 @@
 	addr       string // address for clients
 	configPath string // path of the configuration file
 	settings   map[string]any
-	socket     *os.File   // listens for clients and is held by the soak test; nil: each incarnation opens its own
-	adminAddr  string     // address for admin calls
-	faultMu    sync.Mutex // held while a fault of the proxy lasts
+	socket     *os.File     // listens for clients and is held by the soak test; nil: each incarnation opens its own
+	adminAddr  string       // address for admin calls
+	faultMu    sync.Mutex   // held while a fault of the proxy lasts
+	idleCrowds atomic.Int32 // number of crowds of idle clients that are connected now
 
 	// For the next incarnation:
 	environment []string // environment variables in addition to those that all proxies get
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -92,6 +92,8 @@
 // connectIdleClients keeps idle connections open for a length of time, half as many as the proxy's limit on
 // descriptors: more than the proxy keeps for clients. A connection that the proxy closes is opened again.
 func (p *process) connectIdleClients(length time.Duration) {
+	p.idleCrowds.Add(1)
+	defer p.idleCrowds.Add(-1)
 	var clients sync.WaitGroup
 	end := time.Now().Add(length)
 	for range p.r.limits.Descriptors / 2 {
