--- /dev/null
+++ b/internal/proxy/clientidle.go
@@ -0,0 +1,63 @@
+package proxy
+
+// This file tells when a client's connection is idle, and what its close would lose.
+
+import (
+	"time"
+
+	"cloverdoor/policy"
+)
+
+// idleTime returns the time since the client last sent something or received a part of its answers. It is meaningless
+// while the client has yet to receive a part of them.
+func (c *clientConn) idleTime() time.Duration {
+	_, deliveredAt := c.conn.UndeliveredOutput()
+	return c.server.loop.Now() - max(c.conn.LastReceived(), deliveredAt)
+}
+
+// isReceiving reports whether the client has yet to receive a part of its answers, or probably still reads what its
+// system has received.
+func (c *clientConn) isReceiving() bool {
+	undeliveredBytes, deliveredAt := c.conn.UndeliveredOutput()
+	readingTime := min(c.conn.DeliveryTime(), maxReadingTime)
+	return undeliveredBytes > 0 || c.server.loop.Now()-deliveredAt < readingTime
+}
+
+// isOverdue reports whether the client has exceeded a timeout for sending a request or for being idle. A
+// client that waits for an answer, or has yet to receive a part of one, is never overdue.
+func (c *clientConn) isOverdue() bool {
+	if len(c.openRequests) > 0 || c.isReceiving() {
+		return false
+	}
+	idle := c.idleTime()
+	if c.incompleteSince == 0 {
+		return idle > idleTimeout
+	}
+	return idle > requestPauseTimeout || c.server.loop.Now()-c.incompleteSince > requestReadTimeout
+}
+
+// expectsRequest reports whether the client has just connected or begun a request: a close at this time would lose
+// the request.
+func (c *clientConn) expectsRequest() bool {
+	return c.incompleteSince != 0 && c.server.loop.Now()-c.incompleteSince <= evictPartialAfter
+}
+
+// closeInfo returns what policy.MayClose needs to decide whether an idle connection can be closed.
+func (c *clientConn) closeInfo() policy.CloseInfo {
+	return policy.CloseInfo{
+		OpenRequests:   len(c.openRequests),
+		QueuedBytes:    c.conn.QueuedBytes(),
+		HasUnreadInput: c.conn.HasUnreadInput,
+		UnackedBytes:   c.conn.UnackedBytes,
+	}
+}
+
+// drainInfo returns what policy.MayClose needs to decide whether a connection can be closed because clients
+// are to be disconnected. No answer may be lost, nor anything that the client has sent or is about to send. Shortly
+// before the exit clients send no more, and one that has received its answers may read them after the close.
+func (c *clientConn) drainInfo() policy.CloseInfo {
+	info := c.closeInfo()
+	info.PartialRequest = c.hasPartialRequest()
+	info.RecentlyUsed = c.expectsRequest() || c.isReceiving() && !c.server.lifecycle.exiting()
+	return info
+}
--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -246,7 +246,8 @@
 			req.DisconnectedAt = now
 			req.AnswerNotRequired = req.AnswerNotRequired || raced
 		})
-		c.history.Logf("client", "connection %d to proxy-%d, opened %.3f s before, ended with %s open (raced with an idle close: %v, received: %v, crowded: %v)",
+		c.history.Logf("client",
+			"connection %d to proxy-%d, opened %.3f s before, ended with %s open (raced with an idle close: %v, received: %v, crowded: %v)",
 			c.number, c.clients.proxy.number, (now - c.openedAt).Seconds(), req.ID, raced, end.received, end.crowded)
 	}
 }
