soak: deliveries of events count for the process that received them

Cause: WatchEvent.DeliveredAt was kept by proxy. Change: the coordinator asks /proc which incarnation holds the other end of a stream; deliveries are kept by process. Which process of a takeover accepted a client is not known, so both must have been notified.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -85,19 +85,29 @@
 		Violation{Rule: rule, At: at, Text: fmt.Sprintf(format, args...), Keywords: keywords})
 }
 
-// notifiedAt returns when an event counts as known to the process that handled a request: when the event's line
-// had first been written to any process of the proxy, or at the latest maxNotifyDelay after the publication. That
-// delay excludes the time in which the coordinator sent the proxy no events or the process was paused. Events in the
-// process's configuration are known from its start. Deliveries are kept by proxy: while two processes of one proxy
-// run, during a takeover, the delivery to either of them counts for both.
+// notifiedAt returns when an event counts as known to the process that handled a request. While two processes of one
+// proxy run, during a takeover, either of them may have accepted the request's connection: the event counts as known
+// once it is known to both.
 func (c *historyChecker) notifiedAt(e *WatchEvent, req *Request) time.Duration {
-	incarnation := c.history.incarnation(req.Proxy, req.Incarnation)
-	unreachableSpans := c.history.Withheld[req.Proxy]
+	at := c.notifiedProcessAt(e, processID{req.Proxy, req.Incarnation})
+	previous := c.history.incarnation(req.Proxy, req.Incarnation-1)
+	if previous != nil && (previous.ExitedAt == 0 || previous.ExitedAt > req.SentAt) {
+		at = max(at, c.notifiedProcessAt(e, processID{req.Proxy, previous.Number}))
+	}
+	return at
+}
+
+// notifiedProcessAt returns when an event counts as known to a process: when the event's line had first been written to
+// it, or at the latest maxNotifyDelay after the publication. That delay excludes the time in which the coordinator sent
+// the proxy no events or the process was paused. Events in the process's configuration are known from its start.
+func (c *historyChecker) notifiedProcessAt(e *WatchEvent, process processID) time.Duration {
+	incarnation := c.history.incarnation(process.proxy, process.incarnation)
+	unreachableSpans := c.history.Withheld[process.proxy]
 	if incarnation != nil {
 		unreachableSpans = slices.Concat(unreachableSpans, incarnation.Paused)
 	}
 	at := afterExcluding(unreachableSpans, e.PublishedAt, maxNotifyDelay)
-	deliveredAt, ok := e.DeliveredAt[req.Proxy]
+	deliveredAt, ok := e.DeliveredAt[process]
 	if ok {
 		at = min(at, deliveredAt)
 	}
--- a/internal/soak/coordinator.go
+++ b/internal/soak/coordinator.go
@@ -44,10 +44,10 @@
 }
 
 // serveProxy opens the address for a proxy.
-func (c *coordinator) serveProxy(proxy int, addr string) error {
-	ws := &watchServer{c: c, proxy: proxy, addr: addr, streams: map[net.Conn]bool{}}
+func (c *coordinator) serveProxy(p *process, addr string) error {
+	ws := &watchServer{c: c, proxy: p.number, addr: addr, incarnationOf: p.incarnationOf, streams: map[net.Conn]bool{}}
 	c.mu.Lock()
-	c.watchServers[proxy] = ws
+	c.watchServers[p.number] = ws
 	c.mu.Unlock()
 	return ws.listen()
 }
@@ -89,7 +89,7 @@
 	c.mu.Lock()
 	e.Index = len(c.events) + 1
 	e.PublishedAt = c.history.Now()
-	e.DeliveredAt = map[int]time.Duration{}
+	e.DeliveredAt = map[processID]time.Duration{}
 	c.events = append(c.events, e)
 	line := fmt.Sprintf(format, e.Index)
 	c.lines = append(c.lines, line)
@@ -120,15 +120,15 @@
 	return c.lines[index], c.events[index], lastIndex
 }
 
-// recordDelivery records that an event's line has been written to a proxy. Only the first delivery is kept.
-func (c *coordinator) recordDelivery(e *WatchEvent, proxy int) {
+// recordDelivery records that an event's line has been written to a process. Only the first delivery is kept.
+func (c *coordinator) recordDelivery(e *WatchEvent, to processID) {
 	c.history.withLock(func() {
-		_, delivered := e.DeliveredAt[proxy]
+		_, delivered := e.DeliveredAt[to]
 		if !delivered {
-			e.DeliveredAt[proxy] = c.history.Now()
+			e.DeliveredAt[to] = c.history.Now()
 		}
 	})
-	c.history.Logf("coord", "delivered event %d to proxy-%d", e.Index, proxy)
+	c.history.Logf("coord", "delivered event %d to proxy-%d, incarnation %d", e.Index, to.proxy, to.incarnation)
 }
 
 // stop closes all addresses.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -80,9 +80,6 @@
 // startProxy starts one proxy of the fleet. Every second proxy listens on a socket that the soak test holds, so
 // that one process can take over from another without a pause.
 func (r *run) startProxy(number int) error {
-	if err := r.coordinator.serveProxy(number, r.options.LoopbackAddr(coordinatorHost)); err != nil {
-		return err
-	}
 	host := r.options.LoopbackAddr(proxyHost + number)
 	p := &process{
 		r: r, number: number, addr: freeAddr(host), adminAddr: freeAddr(host),
@@ -92,6 +89,9 @@
 	if p.addr == "" || p.adminAddr == "" {
 		return fmt.Errorf("no free address for proxy %d", number)
 	}
+	if err := r.coordinator.serveProxy(p, r.options.LoopbackAddr(coordinatorHost)); err != nil {
+		return err
+	}
 	if number%2 == 1 {
 		if err := p.holdSocket(); err != nil {
 			return err
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -56,6 +56,7 @@
 	cmd             *exec.Cmd  // command of the current incarnation
 	incarnation     *Incarnation
 	exited          chan struct{} // closed when the current incarnation has exited
+	pids            map[int]int   // process IDs of the incarnations that run, by their numbers
 	acceptsConns    bool          // clients may connect
 	acceptsRequests bool          // clients may make requests on open connections
 }
@@ -107,6 +108,10 @@
 	if err != nil {
 		return err
 	}
+	if p.pids == nil {
+		p.pids = map[int]int{}
+	}
+	p.pids[number] = cmd.Process.Pid
 	p.r.history.withLock(func() { p.r.history.Incarnations = append(p.r.history.Incarnations, incarnation) })
 	p.r.history.Logf(p.name(), "incarnation %d starts, knows %d events, environment %v", number, lastEventIndex, p.environment)
 	logRead := make(chan struct{})
@@ -148,6 +153,9 @@
 // incarnation's log.
 func (p *process) recordExit(incarnation *Incarnation, cmd *exec.Cmd, exited chan<- struct{}, logRead <-chan struct{}) {
 	state, err := cmd.Process.Wait()
+	p.mu.Lock()
+	delete(p.pids, incarnation.Number)
+	p.mu.Unlock()
 	p.r.history.withLock(func() {
 		incarnation.ExitedAt = p.r.history.Now()
 		if err != nil || !state.Success() {
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -62,16 +62,19 @@
 	Serial                    int           // identifies the call in the answer's body
 }
 
+// processID identifies a process: an incarnation of a proxy.
+type processID struct{ proxy, incarnation int }
+
 // WatchEvent is an event that the coordinator publishes.
 type WatchEvent struct {
 	Index        int
 	PublishedAt  time.Duration
-	DeliveredAt  map[int]time.Duration // by proxy number: when the event's line had been written
-	Withdrawn    []string              // servers that the event announces as draining, removed or in an unknown state
-	Serving      []string              // servers that the event announces as serving
-	PurgedObject string                // empty: none
-	PurgedGroup  int                   // -1: none
-	PurgedBefore time.Time             // copies made before this time are purged; zero: no purge
+	DeliveredAt  map[processID]time.Duration // when the event's line had been written to a process
+	Withdrawn    []string                    // servers that the event announces as draining, removed or in an unknown state
+	Serving      []string                    // servers that the event announces as serving
+	PurgedObject string                      // empty: none
+	PurgedGroup  int                         // -1: none
+	PurgedBefore time.Time                   // copies made before this time are purged; zero: no purge
 }
 
 // noGroup is the PurgedGroup of an event that purges no group.
--- a/internal/soak/watchserver.go
+++ b/internal/soak/watchserver.go
@@ -23,6 +23,8 @@
 type watchServer struct {
 	c     *coordinator
 	proxy int
+	// incarnationOf returns which incarnation of the proxy holds the other end of a connection; 0: unknown.
+	incarnationOf func(conn net.Conn) int
 
 	// Guarded by the coordinator's mu:
 	addr           string
@@ -99,18 +101,19 @@
 	if _, err := fmt.Sscanf(line, "follow %d", &index); err != nil {
 		return
 	}
-	ws.c.history.Logf("coord", "proxy-%d follows from %d", ws.proxy, index)
+	follower := processID{ws.proxy, ws.incarnationOf(conn)}
+	ws.c.history.Logf("coord", "proxy-%d, incarnation %d, follows from %d", follower.proxy, follower.incarnation, index)
 	ended := make(chan struct{})
 	go func() {
 		in.ReadByte() //nolint:errcheck // the proxy sends nothing more, so this returns when the connection ends
 		close(ended)
 	}()
-	ws.sendEvents(conn, index, ended)
+	ws.sendEvents(conn, follower, index, ended)
 }
 
-// sendEvents writes the events after an index, each once it is published, until the connection ends or is to be
-// closed. While there is no new event, it writes a heartbeat every heartbeatInterval.
-func (ws *watchServer) sendEvents(conn net.Conn, index int, ended <-chan struct{}) {
+// sendEvents writes the events after an index to a process, each once it is published, until the connection ends or is
+// to be closed. While there is no new event, it writes a heartbeat every heartbeatInterval.
+func (ws *watchServer) sendEvents(conn net.Conn, follower processID, index int, ended <-chan struct{}) {
 	lastHeartbeat := time.Now()
 	for {
 		select {
@@ -145,7 +148,7 @@
 		case continueDelivered:
 			if event != nil {
 				index++
-				ws.c.recordDelivery(event, ws.proxy)
+				ws.c.recordDelivery(event, follower)
 			}
 		}
 	}
