Clients: say why a connection is held while draining, and why each one was closed

Every 0.5 s while clients are to be disconnected, each held connection is logged with the reason that policy.MayClose gives, how long that reason has applied, and the ids of its open requests; svc_conns_held has the numbers. Every end of a client connection is logged with a reason and counted as svc_conns_closed. The reason in_use is split: client_reading is the wait for what a client's system still holds.

--- a/internal/proxy/adminoperations.go
+++ b/internal/proxy/adminoperations.go
@@ -88,6 +88,9 @@
 func (p *Proxy) stopDrain() Phase {
 	if p.lifecycle.phase == Draining {
 		p.lifecycle.setPhase(Serving, p.openRequests)
+		for _, f := range p.fastcgiServers {
+			f.forgetHolds()
+		}
 	}
 	return p.lifecycle.phase
 }
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -31,6 +31,8 @@
 	blocked          []blockedRequest // the oldest first
 	completeRequests int              // number of requests received completely, or rejected before they were complete
 	closeWhenDone    bool             // no further request will be read; the connection is closed once all are answered
+	closeReason      closeReason      // why the connection closes; empty: it does not, or its peer closes it
+	hold             connHold         // why it is still open although clients are to be disconnected
 
 	partialBytes    int                 // buffered bytes of partial and blocked requests
 	skipBytes       int                 // bytes of a discarded record that have not been received yet
@@ -93,7 +95,7 @@
 		c.handleRequest(event)
 	case fastcgi.Rejected:
 		c.completeRequests++
-		c.closeWhenDone = c.closeWhenDone || !event.KeepConn
+		c.closeUnlessKept(event.KeepConn)
 		to := &responder{conn: c, id: event.ID}
 		c.server.counters.countNotServed(policy.ReasonTooLarge)
 		to.writeError(statusServiceUnavailable, event.Err)
@@ -101,7 +103,7 @@
 		c.handleAbort(event.ID)
 	case fastcgi.Reply:
 		c.conn.Write(event.Data)
-		c.closeWhenDone = c.closeWhenDone || event.Close
+		c.closeUnlessKept(!event.Close)
 		c.closeIfDone()
 	}
 }
@@ -109,7 +111,7 @@
 // handleRequest answers a health check, and submits or blocks any other request.
 func (c *clientConn) handleRequest(r *fastcgi.Request) {
 	c.completeRequests++
-	c.closeWhenDone = c.closeWhenDone || !r.KeepConn
+	c.closeUnlessKept(r.KeepConn)
 	to := &responder{conn: c, id: r.ID}
 	if r.Script == healthPath {
 		c.answerHealthCheck(to)
@@ -185,6 +187,7 @@
 	c.server.log.Warn("client connection not read further, protocol error",
 		"connection", c.number, "error", err, "open_requests", len(c.openRequests))
 	c.conn.StopReading()
+	c.setCloseReason(closedProtocolError)
 	c.closeWhenDone = true
 	c.incompleteSince = 0
 	c.decoder.DropPartial()
@@ -196,7 +199,7 @@
 func (c *clientConn) closeIdle() {
 	c.server.log.Info("client connection closed, idle", "connection", c.number, "idle", c.idleTime(),
 		"queued_bytes", c.conn.QueuedBytes(), "unacknowledged_bytes", c.conn.UnackedBytes())
-	c.conn.CloseAfterFlush()
+	c.closeGracefully(closedIdle)
 }
 
 // Closed ends the open requests of a connection that was closed by its client or by a failure, or after its output
@@ -228,6 +231,7 @@
 // release removes a closed connection from its server and ends the open requests. An eviction (errEvicted),
 // unlike any other cause, must not happen while a request is open.
 func (c *clientConn) release(err error) {
+	c.recordClose(err)
 	delete(c.server.conns, c)
 	delete(c.server.blockedConns, c)
 	for _, number := range c.openRequests {
@@ -241,7 +245,15 @@
 // closeIfDone closes the connection if no further request will be read from it and all have been answered.
 func (c *clientConn) closeIfDone() {
 	if c.closeWhenDone && c.hasNoOpenRequest() {
-		c.conn.CloseAfterFlush()
+		c.closeGracefully(closedHalfClose)
+	}
+}
+
+// closeUnlessKept has the connection closed after the open requests if one of them did not set KEEP_CONN.
+func (c *clientConn) closeUnlessKept(keepConn bool) {
+	if !keepConn {
+		c.setCloseReason(closedWithoutKeep)
+		c.closeWhenDone = true
 	}
 }
 
--- a/internal/proxy/clientidle.go
+++ b/internal/proxy/clientidle.go
@@ -18,9 +18,16 @@
 // isReceiving reports whether the client has yet to receive a part of its answers, or probably still reads what its
 // system has received.
 func (c *clientConn) isReceiving() bool {
+	undeliveredBytes, _ := c.conn.UndeliveredOutput()
+	return undeliveredBytes > 0 || c.isReading()
+}
+
+// isReading reports whether the client has received all its answers and probably still reads what its system holds of
+// them.
+func (c *clientConn) isReading() bool {
 	undeliveredBytes, deliveredAt := c.conn.UndeliveredOutput()
 	readingTime := min(c.conn.DeliveryTime(), maxReadingTime)
-	return undeliveredBytes > 0 || c.server.loop.Now()-deliveredAt < readingTime
+	return undeliveredBytes == 0 && c.server.loop.Now()-deliveredAt < readingTime
 }
 
 // isOverdue reports whether the client has exceeded a timeout for sending a request or for being idle. A
@@ -58,6 +65,7 @@
 func (c *clientConn) drainInfo() policy.CloseInfo {
 	info := c.closeInfo()
 	info.PartialRequest = c.hasPartialRequest()
-	info.RecentlyUsed = c.expectsRequest() || c.isReceiving() && !c.server.lifecycle.exiting()
+	info.RecentlyUsed = c.expectsRequest()
+	info.ClientReading = c.isReading() && !c.server.lifecycle.exiting()
 	return info
 }
--- /dev/null
+++ b/internal/proxy/closereason.go
@@ -0,0 +1,74 @@
+package proxy
+
+// This file names the reasons for which client connections are closed, and logs each close.
+
+import (
+	"errors"
+	"io"
+
+	"cloverdoor/internal/eventloop"
+)
+
+// closeReason says why a client connection was closed. It is a label value of the metric svc_conns_closed and a field of
+// log messages.
+type closeReason string
+
+// The reasons for closing a client connection.
+const (
+	closedByClient      closeReason = "client_closed"   // the client closed it
+	closedByReset       closeReason = "connection_lost" // it was reset, or a call on it failed
+	closedIdle          closeReason = "idle"            // the client exceeded a timeout
+	closedEvicted       closeReason = "evicted"         // to make room for another client
+	closedStalled       closeReason = "output_not_read" // the client did not read its answers
+	closedWithoutKeep   closeReason = "no_keep_conn"    // a request did not set KEEP_CONN
+	closedProtocolError closeReason = "protocol_error"  // the client sent what can't be decoded
+	closedHalfClose     closeReason = "half_closed"     // the client closed its sending side and has its answers
+	closedDrained       closeReason = "drained"         // clients are to be disconnected, and nothing was left to do
+)
+
+// closeGracefully closes the connection for a reason once its output has been sent. The first reason counts.
+func (c *clientConn) closeGracefully(reason closeReason) {
+	if c.conn.Ended() {
+		return
+	}
+	c.setCloseReason(reason)
+	c.conn.CloseAfterFlush()
+}
+
+// setCloseReason records why the connection closes, unless that is known.
+func (c *clientConn) setCloseReason(reason closeReason) {
+	if c.closeReason == "" {
+		c.closeReason = reason
+	}
+}
+
+// recordClose counts and logs the end of the connection. err is what ended it; open requests get no answer.
+func (c *clientConn) recordClose(err error) {
+	c.setCloseReason(reasonOfError(err))
+	c.server.counters.connsClosed[c.closeReason]++
+	c.server.log.Info(closeMessage(c.closeReason), "connection", c.number, "reason", c.closeReason, "error", err,
+		"phase", c.server.lifecycle.phase, "age", c.conn.Age(), "complete_requests", c.completeRequests,
+		"requests", c.openRequestIDs(), "discarded_bytes", c.conn.DiscardedBytes())
+}
+
+// reasonOfError returns the reason for a close that this process did not begin.
+func reasonOfError(err error) closeReason {
+	switch {
+	case errors.Is(err, io.EOF):
+		return closedByClient
+	case errors.Is(err, errEvicted):
+		return closedEvicted
+	case errors.Is(err, eventloop.ErrWriteStalled), errors.Is(err, errMemoryLimit):
+		return closedStalled
+	}
+	return closedByReset
+}
+
+// closeMessage returns the message of the log line. Closes by clients have a message of their own, as the number of
+// lines with the same message is limited.
+func closeMessage(reason closeReason) string {
+	if reason == closedByClient || reason == closedByReset {
+		return "client connection ended by client"
+	}
+	return "client connection closed"
+}
--- /dev/null
+++ b/internal/proxy/connhold.go
@@ -0,0 +1,88 @@
+package proxy
+
+// This file records why client connections are still open while clients are to be disconnected, for the log and the
+// metrics.
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cloverdoor/internal/eventloop"
+	"cloverdoor/policy"
+)
+
+// holdReportInterval is the time between two reports on the connections that are still held, and before the first one.
+const holdReportInterval = 500 * time.Millisecond
+
+// connHold says why a connection is held although clients are to be disconnected.
+type connHold struct {
+	reason policy.Reason       // empty: it is not held
+	since  eventloop.Timestamp // when the reason began to apply
+}
+
+// update records the present reason. The time of a reason that still applies stays.
+func (h *connHold) update(reason policy.Reason, now eventloop.Timestamp) {
+	if h.reason != reason {
+		*h = connHold{reason: reason, since: now}
+	}
+}
+
+// reportHeldConns logs each connection that is held, once per holdReportInterval.
+func (f *FastCGIServer) reportHeldConns() {
+	now := f.loop.Now()
+	if f.nextHoldReport == 0 {
+		f.nextHoldReport = now + holdReportInterval
+	}
+	if now < f.nextHoldReport {
+		return
+	}
+	f.nextHoldReport = now + holdReportInterval
+	for c := range f.conns {
+		if c.hold.reason != "" {
+			c.logHold()
+		}
+	}
+}
+
+// logHold logs why the connection is held, since when, and what is open on it.
+func (c *clientConn) logHold() {
+	now := c.server.loop.Now()
+	c.server.log.Info("client connection held", "connection", c.number, "phase", c.server.lifecycle.phase,
+		"reason", c.hold.reason, "held", now-c.hold.since, "age", c.conn.Age(), "idle", c.idleTime(),
+		"requests", c.openRequestIDs(), "blocked", len(c.blocked), "queued_bytes", c.conn.QueuedBytes(),
+		"unacknowledged_bytes", c.conn.UnackedBytes(), "delivery", c.conn.DeliveryTime(), "closing", c.conn.Ended())
+}
+
+// openRequestIDs returns the ids that the client has given to its open requests, in a fixed order.
+func (c *clientConn) openRequestIDs() []string {
+	var ids []string
+	for _, b := range c.blocked {
+		ids = append(ids, b.parsed.ID)
+	}
+	for _, number := range slices.Sorted(maps.Values(c.openRequests)) {
+		if id := c.server.handler.requestID(number); id != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// countHeldConns returns the number of held connections by reason.
+func (f *FastCGIServer) countHeldConns() map[policy.Reason]int {
+	held := map[policy.Reason]int{}
+	for c := range f.conns {
+		if c.hold.reason != "" {
+			held[c.hold.reason]++
+		}
+	}
+	return held
+}
+
+// forgetHolds ends all holds: clients are not to be disconnected any more.
+func (f *FastCGIServer) forgetHolds() {
+	for c := range f.conns {
+		c.hold = connHold{}
+	}
+	f.nextHoldReport = 0
+}
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -73,12 +73,19 @@
 	denials    map[denial]int64
 	notServed  map[policy.Reason]int64 // number of answers that served nothing, by reason
 
+	connsClosed map[closeReason]int64 // number of client connections closed, by reason
+
 	configsAccepted, configsRejected int // numbers of configurations that reloads accepted and rejected
 	unreadableParts                  int // the coordinator's unreadable lines and event parts, and gaps between its events
 }
 
 func newCounters() *counters {
-	return &counters{outcomes: map[string]*[outcomeCount]int64{}, denials: map[denial]int64{}, notServed: map[policy.Reason]int64{}}
+	return &counters{
+		outcomes:    map[string]*[outcomeCount]int64{},
+		denials:     map[denial]int64{},
+		notServed:   map[policy.Reason]int64{},
+		connsClosed: map[closeReason]int64{},
+	}
 }
 
 // addClass adds a class, unless it is known, and returns its counts. Its metrics are listed from then on. A
@@ -114,6 +121,13 @@
 	}
 }
 
+// writeCloseMetrics writes the metrics of closed client connections, in a fixed order.
+func (c *counters) writeCloseMetrics(b *strings.Builder) {
+	for _, reason := range slices.Sorted(maps.Keys(c.connsClosed)) {
+		fmt.Fprintf(b, "svc_conns_closed{reason=%q} %d\n", reason, c.connsClosed[reason])
+	}
+}
+
 // writeOutcomeMetrics writes the metrics of each class.
 func (c *counters) writeOutcomeMetrics(b *strings.Builder) {
 	for _, class := range c.classNames {
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -69,6 +69,6 @@
 	if c.conn.QueuedBytes() == 0 {
 		return false
 	}
-	c.conn.CloseAfterFlush()
+	c.closeGracefully(closedHalfClose)
 	return true
 }
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -51,6 +51,8 @@
 	// handleConnectionClosed ends a request whose connection has closed. evicted says whether it was closed to
 	// make room for another client, which must not happen while a request is open.
 	handleConnectionClosed(number int64, evicted bool)
+	// requestID returns the id that the client has given to a request; empty if the request has ended.
+	requestID(number int64) string
 }
 
 // FastCGIServer accepts clients' connections and turns their FastCGI records into Requests. It closes
@@ -69,6 +71,8 @@
 	blockedConns  map[*clientConn]bool // those with requests blocked by backpressure
 	maxConns      int
 	acceptedConns int64 // number of connections accepted so far; also the newest connection's number in the log
+
+	nextHoldReport eventloop.Timestamp // see reportHeldConns
 }
 
 // start begins the periodic checks of the connections that ln accepts.
@@ -136,12 +140,16 @@
 // as data that arrives while a closed connection still has output would be lost. A connection that can't be
 // closed is checked again in the next turn, so its denial isn't counted.
 func (f *FastCGIServer) closeDrainedConns() {
+	defer f.reportHeldConns()
 	for c := range f.conns {
 		if c.conn.Ended() {
+			c.hold.update(policy.ReasonClosing, f.loop.Now())
 			continue
 		}
-		if policy.MayClose(c.drainInfo()).Allowed() {
-			c.conn.CloseAfterFlush()
+		verdict := policy.MayClose(c.drainInfo())
+		c.hold.update(verdict.Reason, f.loop.Now())
+		if verdict.Allowed() {
+			c.closeGracefully(closedDrained)
 		}
 	}
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -203,6 +203,14 @@
 	p.handleDisconnect(number)
 }
 
+// requestID returns the id that the client has given to a request; empty if the request has ended.
+func (p *Proxy) requestID(number int64) string {
+	if q := p.requests[number]; q != nil && !q.finished {
+		return q.ID
+	}
+	return ""
+}
+
 // cancelAfterDisconnect answers a request whose client has probably disconnected, and cancels its attempts. A
 // client that has closed only its sending side learns from the answer whether the request may have been
 // executed.
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -22,6 +24,8 @@
 	}
 	p.counters.writeNotServedMetrics(&b)
 	p.counters.writeDenialMetrics(&b)
+	p.counters.writeCloseMetrics(&b)
+	p.writeHeldMetrics(&b)
 	p.invariants.writeMetrics(&b)
 	return b.String()
 }
@@ -39,6 +43,16 @@
 	}
 }
 
+// writeHeldMetrics writes how many client connections a drain or a shutdown waits for, by reason, in a fixed order.
+func (p *Proxy) writeHeldMetrics(b *strings.Builder) {
+	for _, f := range p.fastcgiServers {
+		held := f.countHeldConns()
+		for _, reason := range slices.Sorted(maps.Keys(held)) {
+			fmt.Fprintf(b, "svc_conns_held{reason=%q} %d\n", reason, held[reason])
+		}
+	}
+}
+
 // droppedLogLines returns how many log lines were dropped because the reader of the log was slow; 0: none, or
 // unknown.
 func (p *Proxy) droppedLogLines() int {
--- a/policy/guard.go
+++ b/policy/guard.go
@@ -95,6 +95,7 @@
 	PartialRequest bool // a request has arrived in part
 	QueuedBytes    int  // bytes of answers that are not yet written
 	RecentlyUsed   bool // used so recently that a request may be on its way
+	ClientReading  bool // the client may still read answers that its system has received
 
 	// HasUnreadInput reports whether input has arrived that was not read. It is called last, as it makes a
 	// system call.
@@ -115,6 +116,8 @@
 		return Verdict{RuleAnswer, ReasonPartialRequest}
 	case info.RecentlyUsed:
 		return Verdict{RuleAnswer, ReasonInUse}
+	case info.ClientReading:
+		return Verdict{RuleAnswer, ReasonReading}
 	case info.UnackedBytes != nil && info.UnackedBytes() > 0:
 		return Verdict{RuleAnswer, ReasonUnsentOutput}
 	case info.HasUnreadInput():
