--- a/internal/proxy/connhold_test.go
+++ b/internal/proxy/connhold_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against a drain that can't be explained afterwards: a connection that is held is in the log with its reason,
@@ -20,13 +21,8 @@
 	}
 	f.turnUntil(t, func() bool { return len(c.openRequests) == 1 })
 	f.p.startDrain()
-	f.clock.now += drainAcceptTime
-	f.p.runEventQueue()
-	f.clock.now += holdReportInterval
-	if err := f.loop.Wait(0); err != nil {
-		t.Fatal(err)
-	}
-	f.p.runEventQueue()
+	f.turnOfProxy(t, drainAcceptTime)
+	f.turnOfProxy(t, holdReportInterval)
 	for _, want := range []string{"client connection held", "reason=requests_open", "held=500ms", "requests=[9b1f03aa5c7e2d41]"} {
 		if !strings.Contains(log.String(), want) {
 			t.Errorf("%q is not in the log:\n%s", want, log.String())
@@ -46,3 +42,13 @@
 		t.Errorf("the close is not reported; log:\n%s", log.String())
 	}
 }
+
+// turnOfProxy lets time pass and runs a turn of the proxy's main loop.
+func (f *proxyFixture) turnOfProxy(t *testing.T, elapsed time.Duration) {
+	t.Helper()
+	f.clock.now += elapsed
+	if err := f.loop.Wait(0); err != nil {
+		t.Fatal(err)
+	}
+	f.p.runEventQueue()
+}
