--- /dev/null
+++ b/cmd/edgeproxy/clienthabits_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// habit says how a client uses its connection. The zero value connects and sends nothing.
+type habit struct {
+	name         string
+	interval     time.Duration // from one request to the next, whether answered or not; 0: see afterAnswer
+	afterAnswer  time.Duration // from an answer to the next request, with interval 0; negative: no further request
+	outstanding  int           // requests that are sent at the start, with interval 0
+	class        string        // of the requests; empty: artes
+	firstClass   string        // of the first request, if it differs
+	readRate     int           // bytes read per second; 0: at once
+	largeAnswers bool          // asks for objects of largeObjectBytes
+	stopsAsking  time.Duration // after the start of the drain or shutdown; 0: never
+	partBytes    int           // writes so many bytes of a further request, one every partInterval, and no more
+}
+
+const (
+	// firstLargeObject is the number of the first object whose answer has largeObjectBytes.
+	firstLargeObject = 100_000
+	largeObjectBytes = 200_000
+	partInterval     = 40 * time.Millisecond
+	// crossingTime is the time before the end of a connection within which a request is sent again, by the protocol, with
+	// 10 ms for this process.
+	crossingTime = 60 * time.Millisecond
+)
+
+// habitClient is a client with a habit on one connection. Its fields are for after the wait for its done channel.
+type habitClient struct {
+	habit
+	sentAt     map[uint16]time.Time // requests without an answer, by FastCGI id
+	lastAnswer time.Time
+	endedAt    time.Time // when the client read the end of its connection
+	mu         sync.Mutex
+	openClient *client
+	orderedAt  chan time.Time // receives the start of the drain or shutdown
+	done       chan struct{}  // closed at the end of the connection
+}
+
+// rateLimitedConn is a connection that is read at a limited rate.
+type rateLimitedConn struct {
+	net.Conn
+	bytesPerSecond int
+}
+
+// readStep is the time between two reads of a rateLimitedConn.
+const readStep = 10 * time.Millisecond
+
+func (c rateLimitedConn) Read(data []byte) (int, error) {
+	stepBytes := int(float64(c.bytesPerSecond) * readStep.Seconds())
+	n, err := c.Conn.Read(data[:min(len(data), stepBytes)])
+	time.Sleep(time.Duration(float64(n) / float64(c.bytesPerSecond) * float64(time.Second)))
+	return n, err
+}
+
+// startHabit connects a client and lets it follow its habit until its connection ends.
+func (env *testEnv) startHabit(h habit) *habitClient {
+	env.t.Helper()
+	conn, err := net.Dial("tcp", env.addr)
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	env.t.Cleanup(func() { conn.Close() }) //nolint:errcheck // the program may have closed it
+	if h.readRate > 0 {
+		conn = rateLimitedConn{conn, h.readRate}
+	}
+	c := &habitClient{
+		habit: h, sentAt: map[uint16]time.Time{}, openClient: newClient(conn),
+		orderedAt: make(chan time.Time, 1), done: make(chan struct{}),
+	}
+	go c.run()
+	return c
+}
+
+// run follows the habit until the connection ends.
+func (c *habitClient) run() {
+	defer close(c.done)
+	var id uint16
+	send := func() {
+		id++
+		c.send(id)
+	}
+	for range c.outstanding {
+		send()
+	}
+	var ticks <-chan time.Time
+	if c.interval > 0 {
+		ticker := time.NewTicker(c.interval)
+		defer ticker.Stop()
+		ticks = ticker.C
+	}
+	if c.partBytes > 0 {
+		go c.writePart()
+	}
+	nextRequests := make(chan struct{}, max(1, c.outstanding))
+	var lastRequest <-chan time.Time
+	for {
+		select {
+		case a := <-c.openClient.answers:
+			if a.id == 0 {
+				c.endedAt = time.Now()
+				return
+			}
+			c.lastAnswer = time.Now()
+			delete(c.sentAt, a.id)
+			if c.interval == 0 && c.outstanding > 0 && c.afterAnswer >= 0 {
+				time.AfterFunc(c.afterAnswer, func() { nextRequests <- struct{}{} })
+			}
+		case <-ticks:
+			send()
+		case <-nextRequests:
+			send()
+		case orderedAt := <-c.orderedAt:
+			if c.stopsAsking > 0 {
+				lastRequest = time.After(time.Until(orderedAt.Add(c.stopsAsking)))
+			}
+		case <-lastRequest:
+			ticks = nil
+			c.afterAnswer = -1
+		}
+	}
+}
+
+// send writes a request in one call.
+func (c *habitClient) send(id uint16) {
+	out := &bufferedConn{Conn: c.openClient.Conn}
+	class, object := c.class, int(id)
+	if class == "" {
+		class = "artes"
+	}
+	if id == 1 && c.firstClass != "" {
+		class = c.firstClass
+	}
+	if c.largeAnswers {
+		object += firstLargeObject
+	}
+	(&client{Conn: out}).request(id, class, longTimeoutMS, object, "")
+	c.sentAt[id] = time.Now()
+	out.flush()
+}
+
+// writePart writes the beginning of a request slowly, and never its end.
+func (c *habitClient) writePart() {
+	out := &bufferedConn{Conn: c.openClient.Conn}
+	(&client{Conn: out}).request(9999, "artes", longTimeoutMS, 1, "")
+	for i := range min(c.partBytes, len(out.buffer)-1) {
+		c.openClient.Write(out.buffer[i : i+1]) //nolint:errcheck // a lost connection shows in the answers
+		time.Sleep(partInterval)
+	}
+}
+
+// lostRequests describes the requests that got no answer although they did not cross the end of the connection, and of
+// which the client still had no whole answer then.
+func (c *habitClient) lostRequests() (lost []string) {
+	for id, sentAt := range c.sentAt {
+		if c.endedAt.Sub(sentAt) > crossingTime {
+			lost = append(lost, fmt.Sprintf("request %d, sent %v before the end", id, c.endedAt.Sub(sentAt)))
+		}
+	}
+	return lost
+}
+
+// answerByObject answers all calls at the cache from now on: with largeObjectBytes for the objects from firstLargeObject
+// on, and shortly otherwise.
+func (s *fakeServer) answerByObject() {
+	large := make([]byte, largeObjectBytes)
+	for i := range large {
+		large[i] = 'x'
+	}
+	threshold := fmt.Sprintf("%016x", firstLargeObject)
+	go func() {
+		for call := range s.calls {
+			if call.fields["k"] >= threshold {
+				call.answer("served", "-", string(large))
+			} else {
+				call.answer("served", "-", "short")
+			}
+		}
+	}()
+}
--- a/cmd/edgeproxy/env_test.go
+++ b/cmd/edgeproxy/env_test.go
@@ -47,11 +47,12 @@
 	watchConn           net.Conn // current stream from the coordinator; guarded by mu
 
 	// Set by a test before the start:
-	stderr          *os.File     // standard error of the program
-	inheritedSocket *os.File     // listening socket for clients, as the platform passes it; nil: the program opens its own
-	clock           *manualClock // clock of the program; nil: the system clock
-	memoryMB        int          // memory limit of the program, MiB
-	extraEnv        []string     // additional environment variables of the program
+	stderr          *os.File      // standard error of the program
+	inheritedSocket *os.File      // listening socket for clients, as the platform passes it; nil: the program opens its own
+	clock           *manualClock  // clock of the program; nil: the system clock
+	memoryMB        int           // memory limit of the program, MiB
+	classDeadline   time.Duration // deadline of the classes in the settings; 0: they have none
+	extraEnv        []string      // additional environment variables of the program
 }
 
 // startTestEnv starts a program whose configuration holds event 1, with one cache and the origin, and waits until
@@ -82,7 +83,11 @@
 		coordinator = env.relayCoordinator(coordinator)
 	}
 	class := func(name, semantics string) map[string]any {
-		return map[string]any{"name": name, "semantics": semantics, "promise-us": 500000, "gain": 1}
+		settings := map[string]any{"name": name, "semantics": semantics, "promise-us": 500000, "gain": 1}
+		if env.classDeadline > 0 {
+			settings["deadline-us"] = env.classDeadline.Microseconds()
+		}
+		return settings
 	}
 	env.cmd, env.configPath = programCommand(env.t, map[string]any{
 		"name": "n1", "listen": env.addr, "admin_addr": env.adminAddr, "seed": "8c1f30d27a5be964", "coordinator": coordinator,
