Delivery time: time one output at a time, not from the first of an unbroken series

A client that reads at once, but always has some output on its way when the system is asked, counted as slow: its delivery time ran from the first output of the series, as that start moved only when nothing was under way, and acknowledgments are noticed only when somebody asks. A drain then held its connection for up to 1 s after each of its answers (reason client_reading).

One output is timed at a time, as TCP times its segments (RFC 6298), and only for as long as calls have seen it wait. TestDeliveryTimeOfABusyPeerIsShort fails before with 0.949 and 0.953 s after 1 s of use, and passes now; TestDeliveryTimeOfASlowPeer holds before and after.

--- a/internal/eventloop/delivery.go
+++ b/internal/eventloop/delivery.go
@@ -9,11 +9,21 @@
 // delivery records how much of a connection's output has reached its peer's system. Output that has been written may
 // remain in this host's socket buffer for seconds while the peer reads slowly.
 type delivery struct {
-	unackedBytes int           // written and, when last checked, not acknowledged; a shutdown counts as one byte
-	checkedAt    Timestamp     // when the system was last asked
-	progressAt   Timestamp     // see UndeliveredOutput
-	waitingSince Timestamp     // when the first output was queued that was not acknowledged when last checked
-	duration     time.Duration // see DeliveryTime
+	unackedBytes  int       // written and, when last checked, not acknowledged; a shutdown counts as one byte
+	checkedAt     Timestamp // when the system was last asked
+	progressAt    Timestamp // see UndeliveredOutput
+	queuedAt      Timestamp // when output was last queued
+	shutdownAt    Timestamp // when the output was shut down; 0: it was not
+	writtenBytes  int       // all bytes that were written
+	timing        timedOutput
+	lastTimedWait time.Duration // the wait of the last output whose timing is complete
+}
+
+// timedOutput is an output whose wait for its acknowledgment is measured.
+type timedOutput struct {
+	end      int           // number of bytes that will have been written with its last byte; 0: no output is timed
+	queuedAt Timestamp     // when it was queued
+	wait     time.Duration // for how long it has been seen to wait
 }
 
 // QueuedBytes returns how many bytes wait to be written. A message counts only once a part of it has been written.
@@ -47,9 +57,34 @@
 // is later. It makes no system call.
 func (c *Conn) LastProgress() Timestamp { return c.delivery.progressAt }
 
-// DeliveryTime returns how long it took, when UndeliveredOutput last found all output acknowledged, from the queueing
-// of the first of it to that. A peer that reads slowly may take as long again to read what its system still holds.
-func (c *Conn) DeliveryTime() time.Duration { return c.delivery.duration }
+// UnsentBytes returns how many bytes of output this host has not sent yet: queued ones, and written ones for which the
+// peer's window or the network has had no room. If the system can't tell, all written bytes that are not acknowledged
+// count.
+func (c *Conn) UnsentBytes() int {
+	n, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQNSD)
+	if err != nil {
+		n = c.UnackedBytes()
+	}
+	return c.queuedBytes + n
+}
+
+// DeliveryTime returns how long output waits from its queueing to its acknowledgment, as far as calls of
+// UndeliveredOutput have seen it wait. One output is timed at a time, as TCP times its segments (RFC 6298, section 3);
+// while one waits for longer than the last one did, its wait counts. A peer that reads slowly may take as long again to
+// read what its system still holds.
+func (c *Conn) DeliveryTime() time.Duration {
+	return max(c.delivery.lastTimedWait, c.delivery.timing.wait)
+}
+
+// ShutdownDelivered reports whether the output was shut down at least so long ago, and the peer's system has received
+// all of it and its end.
+func (c *Conn) ShutdownDelivered(minAge time.Duration) bool {
+	if c.delivery.shutdownAt == 0 || c.loop.now-c.delivery.shutdownAt < minAge {
+		return false
+	}
+	undeliveredBytes, _ := c.UndeliveredOutput()
+	return undeliveredBytes == 0
+}
 
 // recordAcknowledged records how many bytes are not acknowledged now.
 func (d *delivery) recordAcknowledged(now Timestamp, unackedBytes, queuedBytes int) {
@@ -57,17 +92,42 @@
 		d.progressAt = now
 	}
 	d.unackedBytes = unackedBytes
-	if unackedBytes == 0 && queuedBytes == 0 {
-		d.duration = now - d.waitingSince
+	d.updateTiming(now, queuedBytes)
+}
+
+// updateTiming measures the wait of the timed output. Once that is acknowledged, the output that was queued last is
+// timed, if it still waits.
+func (d *delivery) updateTiming(now Timestamp, queuedBytes int) {
+	if d.timing.end == 0 {
+		return
+	}
+	if d.writtenBytes-d.unackedBytes < d.timing.end {
+		d.timing.wait = now - d.timing.queuedAt
+		return
+	}
+	d.lastTimedWait = d.timing.wait
+	d.timing = timedOutput{}
+	if d.unackedBytes+queuedBytes > 0 {
+		d.timing = timedOutput{end: d.writtenBytes + queuedBytes, queuedAt: d.queuedAt}
 	}
 }
 
-// recordQueued starts the wait for the peer if no other output waits for it.
-func (d *delivery) recordQueued(now Timestamp, queuedBytes int) {
+// recordQueued records that size bytes are queued behind queuedBytes others. It starts the wait for the peer if no other
+// output waits for it.
+func (d *delivery) recordQueued(now Timestamp, queuedBytes, size int) {
+	d.queuedAt = now
 	if queuedBytes == 0 && d.unackedBytes == 0 {
 		d.progressAt = now
-		d.waitingSince = now
 	}
+	if d.timing.end == 0 {
+		d.timing = timedOutput{end: d.writtenBytes + queuedBytes + size, queuedAt: now}
+	}
+}
+
+// recordWritten records that n bytes were written.
+func (d *delivery) recordWritten(n int) {
+	d.unackedBytes += n
+	d.writtenBytes += n
 }
 
 // recordShutdown counts the shutdown of the output as one byte that the peer has to acknowledge, and starts the wait
@@ -75,4 +135,5 @@
 func (d *delivery) recordShutdown(now Timestamp) {
 	d.unackedBytes++
 	d.progressAt = now
+	d.shutdownAt = now
 }
--- a/internal/eventloop/delivery_test.go
+++ b/internal/eventloop/delivery_test.go
@@ -87,3 +87,72 @@
 		t.Errorf("closed with error %v after %v, want after %v", handler.closeErr, lingered, maxLinger)
 	}
 }
+
+// Guards against a peer that reads at once and counts as slow, because some output was on its way whenever the system was
+// asked (report 06224d): its connection was held for a second after each pause.
+func TestDeliveryTimeOfABusyPeerIsShort(t *testing.T) {
+	const writeInterval, askInterval, busyTime = 5 * time.Millisecond, 50 * time.Millisecond, time.Second
+	const longestAckDelay = 300 * time.Millisecond // the system's limit for a delayed acknowledgment, 200 ms, and the machine's delays
+	handler := &echo{}
+	ln := newTestListener(t, func() bool { return true }, func(c *Conn) Handler {
+		handler.conn = c
+		return handler
+	})
+	peer := ln.dial(t)
+	go io.Copy(io.Discard, peer) //nolint:errcheck // it ends with the test
+	runTurns(t, ln.loop, func() bool { return handler.conn != nil })
+	start := ln.loop.ReadClock()
+	askedAt := start
+	for now := start; now-start < busyTime; now = ln.loop.ReadClock() {
+		if err := ln.loop.Wait(writeInterval); err != nil {
+			t.Fatal(err)
+		}
+		handler.conn.Write(make([]byte, 100))
+		ln.loop.Flush()
+		if now-askedAt >= askInterval { // right after a write, so that it is never found acknowledged
+			askedAt = now
+			handler.conn.UndeliveredOutput()
+		}
+	}
+	runTurns(t, ln.loop, func() bool {
+		undeliveredBytes, _ := handler.conn.UndeliveredOutput()
+		return undeliveredBytes == 0
+	})
+	if got := handler.conn.DeliveryTime(); got > longestAckDelay {
+		t.Errorf("the delivery time of a peer that reads at once is %v after %v", got, busyTime)
+	}
+}
+
+// A peer that reads slowly has a delivery time near the wait of the last output.
+func TestDeliveryTimeOfASlowPeer(t *testing.T) {
+	const size, step = 1 << 20, lingerInterval
+	clock := &testClock{now: Timestamp(time.Now().UnixNano())}
+	handler := &echo{}
+	ln := newTestListenerWithClock(t, clock, func() bool { return true }, func(c *Conn) Handler {
+		handler.conn = c
+		return handler
+	})
+	peer := ln.dial(t)
+	runTurns(t, ln.loop, func() bool { return handler.conn != nil })
+	start := clock.now
+	for range 4 { // the first of them is acknowledged long before the last
+		handler.conn.Write(make([]byte, size/4))
+	}
+	ln.loop.Flush()
+	for total := 0; total < size; {
+		n, err := io.ReadFull(peer, make([]byte, min(size-total, int(readingRate*step.Seconds()))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		total += n
+		time.Sleep(realStep)
+		clock.advance(t, ln.loop, step)
+		if undeliveredBytes, _ := handler.conn.UndeliveredOutput(); undeliveredBytes == 0 {
+			break // the peer's buffer holds the rest
+		}
+	}
+	waited := clock.now - start
+	if got := handler.conn.DeliveryTime(); got < waited/2 || got > waited {
+		t.Errorf("the delivery time is %v, want near %v", got, waited)
+	}
+}
--- a/internal/eventloop/output.go
+++ b/internal/eventloop/output.go
@@ -38,7 +38,7 @@
 }
 
 func (c *Conn) enqueue(o output) {
-	c.delivery.recordQueued(c.loop.now, c.queuedBytes)
+	c.delivery.recordQueued(c.loop.now, c.queuedBytes, len(o.data))
 	c.addQueuedBytes(len(o.data))
 	c.scheduleFlush()
 	if o.message == nil && c.joinWithLast(o.data) {
@@ -151,7 +151,7 @@
 // It reports whether that is all of data.
 func (c *Conn) recordWritten(data []byte, n int) (complete bool) {
 	head := &c.outputQueue[0] // fetched again: output queued by Encode may have moved the queue
-	c.delivery.unackedBytes += n
+	c.delivery.recordWritten(n)
 	if head.message != nil {
 		message := head.message
 		c.addQueuedBytes(len(data))
