Drain, shutdown: close each connection at a last moment of the proxy's own

What callers saw: 4 s after drain/start connections were still open, those of clients that send every 2 to 40 ms or right after each answer, that read slowly, trickle a request, or have a call open that hangs. After SIGTERM such clients kept the process from its exit until the kill, which found requests unanswered.

Cause: the end of a connection waited for moments that only its client can grant: all output acknowledged at the end of a turn (an acknowledgment is delayed by up to 40 ms, and comes with the next request if that is sooner), the rest of a request, the pause after the last answer. The class: a promise with a time limit that rests on what the other side does.

Now each connection has a time by which it is closed (lifecycle.closeTime): 3.0 s after drain/start, and 0.3 s before the kill after SIGTERM, but not before 0.6 s. What has arrived by then is read and answered, open and blocked requests too, and the connection is closed with CloseAfterFlush, which discards later input instead of resetting. Before that time, output must have been sent, not acknowledged, unless the client reads slowly: the end follows right behind it. The exit waits for closing connections only until their clients' systems have everything. A SIGTERM during a drain puts nothing off. A closing connection has a minute.

A habit of the first form of the test, one byte of a request with others behind it, was malformed; it now sends the byte alone.

--- a/cmd/edgeproxy/drainhabits_test.go
+++ b/cmd/edgeproxy/drainhabits_test.go
@@ -23,7 +23,7 @@
 		{name: "next request 10 ms after each answer", outstanding: 1, afterAnswer: 10 * time.Millisecond},
 		{name: "next request 25 ms after each answer", outstanding: 1, afterAnswer: 25 * time.Millisecond},
 		{name: "three requests at a time", outstanding: 3},
-		{name: "part of a request", interval: 30 * time.Millisecond, partBytes: 1},
+		{name: "the first byte of a request", outstanding: 1, afterAnswer: -1, partBytes: 1},
 		{name: "a request that trickles", outstanding: 1, afterAnswer: -1, partBytes: 1000},
 		{name: "a call that hangs", outstanding: 1, afterAnswer: -1, firstClass: "registro"},
 		{name: "a call that hangs, and others", interval: 20 * time.Millisecond, firstClass: "registro"},
--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -109,8 +109,11 @@
 }
 
 // isStalled reports whether the connection is to be closed as the client receives nothing of its answers. Once it is
-// closing and its queue is empty, the event loop alone limits the wait for the client.
+// closing and its queue is empty, the event loop limits the wait for the client, and maxClosingTime all of the wait.
 func (c *clientConn) isStalled() bool {
+	if c.closingSince != 0 && c.server.loop.Now()-c.closingSince > maxClosingTime {
+		return true
+	}
 	if c.conn.QueuedBytes() == 0 {
 		return !c.conn.Ended() && c.isStalledFor(writeStallTimeout)
 	}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -27,12 +27,13 @@
 	conn    *eventloop.Conn
 	decoder fastcgi.Decoder
 
-	openRequests     map[uint16]int64 // request numbers, or notSubmitted, by FastCGI id; nil once closed
-	blocked          []blockedRequest // the oldest first
-	completeRequests int              // number of requests received completely, or rejected before they were complete
-	closeWhenDone    bool             // no further request will be read; the connection is closed once all are answered
-	closeReason      closeReason      // why the connection closes; empty: it does not, or its peer closes it
-	hold             connHold         // why it is still open although clients are to be disconnected
+	openRequests     map[uint16]int64    // request numbers, or notSubmitted, by FastCGI id; nil once closed
+	blocked          []blockedRequest    // the oldest first
+	completeRequests int                 // number of requests received completely, or rejected before they were complete
+	closeWhenDone    bool                // no further request will be read; the connection is closed once all are answered
+	closeReason      closeReason         // why the connection closes; empty: it does not, or its peer closes it
+	closingSince     eventloop.Timestamp // when the graceful close began; 0: it has not
+	hold             connHold            // why it is still open although clients are to be disconnected
 
 	partialBytes    int                 // buffered bytes of partial and blocked requests
 	skipBytes       int                 // bytes of a discarded record that have not been received yet
--- a/internal/proxy/clientidle.go
+++ b/internal/proxy/clientidle.go
@@ -27,9 +27,12 @@
 func (c *clientConn) isReading() bool {
 	undeliveredBytes, deliveredAt := c.conn.UndeliveredOutput()
 	readingTime := min(c.conn.DeliveryTime(), maxReadingTime)
-	return undeliveredBytes == 0 && c.server.loop.Now()-deliveredAt < readingTime
+	return undeliveredBytes == 0 && c.readsSlowly() && c.server.loop.Now()-deliveredAt < readingTime
 }
 
+// readsSlowly reports whether the client's answers wait for its reading, and not just for a delayed acknowledgment.
+func (c *clientConn) readsSlowly() bool { return c.conn.DeliveryTime() > crossingTime }
+
 // isOverdue reports whether the client has exceeded a timeout for sending a request or for being idle. A
 // client that waits for an answer, or has yet to receive a part of one, is never overdue.
 func (c *clientConn) isOverdue() bool {
@@ -58,14 +61,3 @@
 		UnackedBytes:   c.conn.UnackedBytes,
 	}
 }
-
-// drainInfo returns what policy.MayClose needs to decide whether a connection can be closed because clients
-// are to be disconnected. No answer may be lost, nor anything that the client has sent or is about to send. Shortly
-// before the exit clients send no more, and one that has received its answers may read them after the close.
-func (c *clientConn) drainInfo() policy.CloseInfo {
-	info := c.closeInfo()
-	info.PartialRequest = c.hasPartialRequest()
-	info.RecentlyUsed = c.expectsRequest()
-	info.ClientReading = c.isReading() && !c.server.lifecycle.exiting()
-	return info
-}
--- a/internal/proxy/closereason.go
+++ b/internal/proxy/closereason.go
@@ -24,6 +24,7 @@
 	closedProtocolError closeReason = "protocol_error"  // the client sent what can't be decoded
 	closedHalfClose     closeReason = "half_closed"     // the client closed its sending side and has its answers
 	closedDrained       closeReason = "drained"         // clients are to be disconnected, and nothing was left to do
+	closedAtTimeLimit   closeReason = "time_limit"      // clients are to be disconnected, and the time for that was over
 )
 
 // closeGracefully closes the connection for a reason once its output has been sent. The first reason counts.
@@ -32,6 +33,7 @@
 		return
 	}
 	c.setCloseReason(reason)
+	c.closingSince = c.server.loop.Now()
 	c.conn.CloseAfterFlush()
 }
 
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -3,7 +3,6 @@
 // This file handles clients that close their sending side, or their connection, while they have open requests.
 
 import (
-	"math"
 	"time"
 
 	"cloverdoor/internal/eventloop"
@@ -53,7 +52,7 @@
 // cancelOpenRequests ends the requests of a client that has disconnected: it rejects the blocked ones and cancels
 // the others.
 func (c *clientConn) cancelOpenRequests() {
-	c.rejectOverdueBlocked(math.MaxInt64) // at that time all blocked requests are overdue
+	c.rejectAllBlocked()
 	for _, number := range c.openRequests {
 		c.server.handler.cancelAfterDisconnect(number)
 	}
--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,84 @@
+package proxy
+
+// This file closes the connections of clients that are to be disconnected, because of a drain or a shutdown. Until the
+// time of lifecycle.closeTime a connection is closed when nothing is lost by that; then it is closed in any case, so
+// that no client can put off the end of a drain or of the process.
+
+import (
+	"math"
+	"time"
+
+	"cloverdoor/policy"
+)
+
+// crossingTime is the time that a request may take to cross the close of its connection: the client sends such a request
+// again.
+const crossingTime = 50 * time.Millisecond
+
+// closeDrainedConns closes connections while clients are to be disconnected. It is called at the end of a turn, when all
+// output of the turn is written. A connection that can't be closed is checked again in the next turn, so its denial
+// isn't counted.
+func (f *FastCGIServer) closeDrainedConns() {
+	for c := range f.conns {
+		c.closeIfDrained()
+	}
+	f.loop.Flush()
+	f.reportHeldConns()
+}
+
+// closeIfDrained closes the connection if nothing remains to be done on it, or if its time is over.
+func (c *clientConn) closeIfDrained() {
+	now := c.server.loop.Now()
+	closeTime, limited := c.server.lifecycle.closeTime(c.conn.CreatedAt())
+	switch {
+	case c.conn.Ended():
+		c.hold.update(policy.ReasonClosing, now)
+	case limited && now >= closeTime:
+		c.closeAtTimeLimit()
+	default:
+		verdict := policy.MayClose(c.drainInfo())
+		c.hold.update(verdict.Reason, now)
+		if verdict.Allowed() {
+			c.closeGracefully(closedDrained)
+		}
+	}
+}
+
+// closeAtTimeLimit reads what has arrived, answers all that is open and closes the connection. What arrives later crosses
+// the close, and a request that has arrived in part is not answered.
+func (c *clientConn) closeAtTimeLimit() {
+	c.conn.PollNow()
+	if c.conn.Ended() {
+		return
+	}
+	if held := policy.MayClose(c.drainInfo()); !held.Allowed() {
+		c.hold.update(held.Reason, c.server.loop.Now())
+		c.logHold()
+	}
+	c.rejectAllBlocked()
+	for _, number := range c.openRequests {
+		c.server.handler.cancelBeforeClose(number)
+	}
+	c.decoder.DropPartial()
+	c.updatePartialBytes()
+	c.closeGracefully(closedAtTimeLimit)
+}
+
+// rejectAllBlocked rejects the requests that are blocked by backpressure.
+func (c *clientConn) rejectAllBlocked() { c.rejectOverdueBlocked(math.MaxInt64) }
+
+// drainInfo returns what policy.MayClose needs to decide whether a connection can be closed because clients are to be
+// disconnected. No answer may be lost, nor anything that the client has sent or is about to send. Answers that were sent
+// need not be acknowledged: the end of the connection follows right behind them, and CloseAfterFlush waits for the
+// client.
+func (c *clientConn) drainInfo() policy.CloseInfo {
+	return policy.CloseInfo{
+		OpenRequests:   len(c.openRequests),
+		QueuedBytes:    c.conn.QueuedBytes(),
+		PartialRequest: c.hasPartialRequest(),
+		RecentlyUsed:   c.expectsRequest(),
+		ClientReading:  c.readsSlowly() && c.isReceiving(),
+		UnsentBytes:    c.conn.UnsentBytes,
+		HasUnreadInput: c.conn.HasUnreadInput,
+	}
+}
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -17,6 +17,8 @@
 	// criticalWriteStallTimeout replaces writeStallTimeout for clients with queued answers while the memory budget is
 	// critical.
 	criticalWriteStallTimeout = 200 * time.Millisecond
+	// maxClosingTime is the longest time that a client may take to receive its answers once its connection is closing.
+	maxClosingTime = time.Minute
 	// maxReadingTime is the longest time for which a client counts as reading after its system has received all answers.
 	maxReadingTime = time.Second
 	// idleTimeout is the longest time that a connection may go without input from the client, counted from when the
@@ -48,6 +50,8 @@
 	// cancelAfterDisconnect cancels a request whose client has probably disconnected. It answers the request at
 	// once, as the client may have closed only its sending side.
 	cancelAfterDisconnect(number int64)
+	// cancelBeforeClose cancels and answers a request, as its connection is about to be closed by this process.
+	cancelBeforeClose(number int64)
 	// handleConnectionClosed ends a request whose connection has closed. evicted says whether it was closed to
 	// make room for another client, which must not happen while a request is open.
 	handleConnectionClosed(number int64, evicted bool)
@@ -106,6 +110,7 @@
 // overdue.
 func (f *FastCGIServer) checkConn(c *clientConn) {
 	c.rejectOverdueBlocked(f.loop.Now())
+	c.conn.UndeliveredOutput() // notices acknowledgments
 	if c.isStalled() {
 		c.closeStalled(eventloop.ErrWriteStalled)
 		return
@@ -135,26 +140,12 @@
 	return f.counters.recordVerdict(actionClose, policy.MayClose(info))
 }
 
-// closeDrainedConns closes, while clients are to be disconnected, the connections on which nothing remains to
-// be done: all input has been read, and all output written and acknowledged. It is called at the end of a turn,
-// as data that arrives while a closed connection still has output would be lost. A connection that can't be
-// closed is checked again in the next turn, so its denial isn't counted.
-func (f *FastCGIServer) closeDrainedConns() {
-	defer f.reportHeldConns()
+// Idle reports whether no client has a connection that must stay open, and none waits to be accepted.
+func (f *FastCGIServer) Idle() bool {
 	for c := range f.conns {
-		if c.conn.Ended() {
-			c.hold.update(policy.ReasonClosing, f.loop.Now())
-			continue
-		}
-		verdict := policy.MayClose(c.drainInfo())
-		c.hold.update(verdict.Reason, f.loop.Now())
-		if verdict.Allowed() {
-			c.closeGracefully(closedDrained)
+		if !c.conn.ShutdownDelivered(crossingTime) {
+			return false
 		}
 	}
-}
-
-// Idle reports whether no client is connected and none waits to be accepted.
-func (f *FastCGIServer) Idle() bool {
-	return len(f.conns) == 0 && (f.sharedSocket || !f.listener.HasPending())
+	return f.sharedSocket || !f.listener.HasPending()
 }
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -20,11 +20,16 @@
 	killGrace = 700 * time.Millisecond
 	// ExitMargin is the time before the kill by which all requests are answered. The rest of the exit must fit into
 	// it.
-	ExitMargin = 200 * time.Millisecond
+	ExitMargin = 300 * time.Millisecond
+	// minShutdownServeTime is the time after the signal for which requests are read and answered, however early the kill:
+	// clients connect for up to 0.4 s after the signal, and send on open connections for 0.2 s more.
+	minShutdownServeTime = 600 * time.Millisecond
+	// shutdownCloseTime is the least time before lifecycle.closeBy at which client connections begin to be closed.
+	shutdownCloseTime = 100 * time.Millisecond
 	// maxShutdownDeadline is the longest deadline that the platform waits for. It is also the default if the
 	// settings have no deadline.
 	maxShutdownDeadline = 3 * time.Second
-	// shutdownRejectTime is the time before lifecycle.answerBy at which the proxy starts to reject new requests.
+	// shutdownRejectTime is the time before lifecycle.closeBy at which the proxy starts to reject new requests.
 	shutdownRejectTime = 500 * time.Millisecond
 	// drainAcceptTime is the time after the start of an operator's drain during which clients are served as before.
 	// The load balancer in front checks health every 0.1 s and, after a failed check, goes on sending requests for
@@ -33,8 +38,15 @@
 	// drainRejectAfter is the time from the start of a drain after which new requests are rejected. Connections
 	// that would otherwise never be idle then become idle and can be closed.
 	drainRejectAfter = 1900 * time.Millisecond
+	// drainCloseAfter is the time from the start of a drain after which no request is read any more. 4 s after the start no
+	// connection may be held idle, or with a request from the last 2 s.
+	drainCloseAfter = 3 * time.Second
 )
 
+// newConnTime is the time that a client that has just connected has for its first request while clients are to be
+// disconnected.
+const newConnTime = evictPartialAfter
+
 // Phase is a state of the process between its start and its exit.
 type Phase int
 
@@ -67,7 +79,7 @@
 	// Valid while Draining or Stopping:
 	disconnectFrom eventloop.Timestamp // when idle client connections begin to be closed
 	rejectFrom     eventloop.Timestamp // when new requests begin to be rejected
-	answerBy       eventloop.Timestamp // while Stopping: when every request must have been answered
+	closeBy        eventloop.Timestamp // when the open requests are answered and all client connections closed
 }
 
 // setPhase changes the phase. openRequests is only logged.
@@ -79,21 +91,38 @@
 // beginDrain starts an operator's drain.
 func (l *lifecycle) beginDrain(openRequests int) {
 	l.setPhase(Draining, openRequests)
-	l.disconnectFrom = l.loop.Now() + drainAcceptTime
-	l.rejectFrom = l.loop.Now() + drainRejectAfter
+	now := l.loop.Now()
+	l.setTimes(now+drainAcceptTime, now+drainRejectAfter, now+drainCloseAfter)
 }
 
 // beginShutdown starts a graceful shutdown. longestDeadline is the longest deadline of the settings; 0: none. If
-// takeover is set, another process accepts clients on the same sockets, and idle connections are closed at once.
+// takeover is set, another process accepts clients on the same sockets, and idle connections are closed at once. A drain
+// that is under way goes on: none of its times is put off.
 func (l *lifecycle) beginShutdown(longestDeadline time.Duration, takeover bool, openRequests int) {
+	wasDraining := l.phase == Draining
 	l.setPhase(Stopping, openRequests)
-	l.disconnectFrom = l.loop.Now() + shutdownAcceptTime
+	now := l.loop.Now()
+	killDelay := min(maxShutdownDeadline, cmp.Or(longestDeadline, maxShutdownDeadline)) + killGrace
+	closeBy := now + max(minShutdownServeTime, killDelay-ExitMargin)
+	disconnectFrom := min(now+shutdownAcceptTime, closeBy-shutdownCloseTime)
 	if takeover {
-		l.disconnectFrom = l.loop.Now()
+		disconnectFrom = now
 	}
-	killDelay := min(maxShutdownDeadline, cmp.Or(longestDeadline, maxShutdownDeadline)) + killGrace
-	l.answerBy = l.loop.Now() + killDelay - ExitMargin
-	l.rejectFrom = l.answerBy - shutdownRejectTime
+	rejectFrom := closeBy - shutdownRejectTime
+	if wasDraining {
+		disconnectFrom = min(disconnectFrom, l.disconnectFrom)
+		rejectFrom = min(rejectFrom, l.rejectFrom)
+		closeBy = min(closeBy, l.closeBy)
+	}
+	l.setTimes(disconnectFrom, rejectFrom, closeBy)
+}
+
+// setTimes sets the times of the next steps, and has the event loop wake up for the last one.
+func (l *lifecycle) setTimes(disconnectFrom, rejectFrom, closeBy eventloop.Timestamp) {
+	l.disconnectFrom = disconnectFrom
+	l.rejectFrom = rejectFrom
+	l.closeBy = closeBy
+	l.loop.At(closeBy, func() {})
 }
 
 // disconnecting reports whether idle client connections must be closed now.
@@ -101,9 +130,19 @@
 	return (l.phase == Draining || l.phase == Stopping) && l.loop.Now() >= l.disconnectFrom
 }
 
-// exiting reports whether a shutdown has come so far that new requests are rejected.
-func (l *lifecycle) exiting() bool { return l.phase == Stopping && l.rejecting() }
-
 // rejecting reports whether new requests must be rejected now. Without rejections, clients that always have an open
 // request would never be disconnected.
 func (l *lifecycle) rejecting() bool { return l.disconnecting() && l.loop.Now() >= l.rejectFrom }
+
+// closeTime returns the time by which a client connection that was accepted at a time must be closed, whatever its
+// client does; false: clients are not to be disconnected. A connection that is accepted when that time is near has
+// newConnTime for its first request, except before an exit.
+func (l *lifecycle) closeTime(acceptedAt eventloop.Timestamp) (closeTime eventloop.Timestamp, limited bool) {
+	switch l.phase {
+	case Draining:
+		return max(l.closeBy, acceptedAt+newConnTime), true
+	case Stopping:
+		return l.closeBy, true
+	}
+	return 0, false
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,7 +110,7 @@
 }
 
 // runEventQueue dispatches events and writes output until no event is queued. While clients are to be
-// disconnected, it finally closes their connections where possible, after everything that has been received is
+// disconnected, it then closes their connections where possible, after everything that has been received is
 // processed and all output of the turn is written.
 func (p *Proxy) runEventQueue() {
 	for {
@@ -129,6 +129,8 @@
 	for _, f := range p.fastcgiServers {
 		f.closeDrainedConns()
 	}
+	p.dispatchEvents()
+	p.loop.Flush()
 }
 
 // dispatchEvents hands the queued events to the decision module and executes its actions, which may queue
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -107,12 +107,12 @@
 }
 
 // answerDeadline returns the time by which a request that is admitted now must have its answer. During a shutdown
-// it is at most lifecycle.answerBy, unless that has passed: then it is the present time.
+// it is at most lifecycle.closeBy, unless that has passed: then it is the present time.
 func (p *Proxy) answerDeadline(timeout time.Duration) eventloop.Timestamp {
 	now := p.loop.Now()
 	deadline := now + timeout - min(answerReserve, timeout/answerReserveDivisor)
 	if p.lifecycle.phase == Stopping {
-		return max(now, min(deadline, p.lifecycle.answerBy))
+		return max(now, min(deadline, p.lifecycle.closeBy))
 	}
 	return deadline
 }
@@ -215,6 +215,15 @@
 // client that has closed only its sending side learns from the answer whether the request may have been
 // executed.
 func (p *Proxy) cancelAfterDisconnect(number int64) {
+	p.cancel(number, policy.ReasonClientDisconnected)
+}
+
+// cancelBeforeClose answers a request whose connection is about to be closed, and cancels its attempts.
+func (p *Proxy) cancelBeforeClose(number int64) { p.cancel(number, policy.ReasonStopping) }
+
+// cancel answers a request before its deadline, and cancels its attempts. The answer tells whether the request may have
+// been executed.
+func (p *Proxy) cancel(number int64, reason policy.Reason) {
 	q := p.requests[number]
 	if q == nil || q.finished {
 		return
@@ -223,7 +232,7 @@
 	if q.hasStartedNonIdempotentCall() {
 		status = Failed
 	}
-	p.answer(q, Answer{Status: status, Reason: policy.ReasonClientDisconnected})
+	p.answer(q, Answer{Status: status, Reason: reason})
 	p.notify(policy.RequestEnded{ID: number})
 }
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -27,7 +27,7 @@
 func (p *Proxy) beginShutdown() {
 	p.lifecycle.beginShutdown(p.config.MaxDeadline, p.allSocketsShared(), p.openRequests)
 	for _, q := range p.requests {
-		p.shortenDeadline(q, p.lifecycle.answerBy)
+		p.shortenDeadline(q, p.lifecycle.closeBy)
 	}
 }
 
--- a/policy/guard.go
+++ b/policy/guard.go
@@ -101,6 +101,10 @@
 	// system call.
 	HasUnreadInput func() bool
 
+	// UnsentBytes returns the number of bytes that this host has not sent yet: the end of the connection would follow
+	// behind them. Nil: not checked.
+	UnsentBytes func() int
+
 	// UnackedBytes returns the number of bytes that were written and not acknowledged. Nil: not checked.
 	UnackedBytes func() int
 }
@@ -118,6 +122,8 @@
 		return Verdict{RuleAnswer, ReasonInUse}
 	case info.ClientReading:
 		return Verdict{RuleAnswer, ReasonReading}
+	case info.UnsentBytes != nil && info.UnsentBytes() > 0:
+		return Verdict{RuleAnswer, ReasonUnsentOutput}
 	case info.UnackedBytes != nil && info.UnackedBytes() > 0:
 		return Verdict{RuleAnswer, ReasonUnsentOutput}
 	case info.HasUnreadInput():
