Drain: reject a request whose answer a slow reader could not receive in time

A client that reads 1 MB/s, has 12 answers of 200 KB on their way and goes on asking had megabytes to read when its connection was closed 3.0 s after drain/start: what it sent until it saw the end, seconds later, was thrown away unread, and its connection was open at 4.0 s.

--- a/cmd/edgeproxy/drainhabits_test.go
+++ b/cmd/edgeproxy/drainhabits_test.go
@@ -42,6 +42,7 @@
 		{name: "0.3 MB/s, asks at once", readRate: 300_000, largeAnswers: true, outstanding: 1},
 		{name: "1 MB/s, 4 answers, asks for 0.8 s", readRate: 1_000_000, largeAnswers: true, outstanding: 4, stopsAsking: 800 * time.Millisecond},
 		{name: "1 MB/s, 12 answers, asks for 1.6 s", readRate: 1_000_000, largeAnswers: true, outstanding: 12, stopsAsking: 1600 * time.Millisecond},
+		{name: "1 MB/s, 12 answers, asks at once", readRate: 1_000_000, largeAnswers: true, outstanding: 12},
 	}
 }
 
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -124,6 +124,12 @@
 		to.writeError(statusBadRequest, err)
 		return
 	}
+	if c.hasNoTimeForAnswer() {
+		c.server.handler.rejectUnsubmitted(parsed, to, Answer{
+			Status: Rejected, RetryAfter: unsubmittedRetryAfter, Reason: policy.ReasonStopping,
+		})
+		return
+	}
 	if c.mustBlock() {
 		c.block(r, parsed)
 		return
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -11,9 +11,14 @@
 	"cloverdoor/policy"
 )
 
-// crossingTime is the time that a request may take to cross the close of its connection: the client sends such a request
-// again.
-const crossingTime = 50 * time.Millisecond
+const (
+	// crossingTime is the time that a request may take to cross the close of its connection: the client sends such a
+	// request again.
+	crossingTime = 50 * time.Millisecond
+	// slowReadRate is the number of bytes a second by which the time of a client that reads slowly is estimated: half of
+	// what such clients read, as the bytes that their systems hold can't be seen.
+	slowReadRate = 500_000
+)
 
 // closeDrainedConns closes connections while clients are to be disconnected. It is called at the end of a turn, when all
 // output of the turn is written. A connection that can't be closed is checked again in the next turn, so its denial
@@ -82,3 +87,15 @@
 		HasUnreadInput: c.conn.HasUnreadInput,
 	}
 }
+
+// hasNoTimeForAnswer reports whether a client that reads slowly would not receive the answer to a further request before
+// its connection has to be closed, because of the answers before it.
+func (c *clientConn) hasNoTimeForAnswer() bool {
+	if !c.server.lifecycle.disconnecting() {
+		return false
+	}
+	closeTime, _ := c.server.lifecycle.closeTime(c.conn.CreatedAt())
+	timeLeft := max(0, closeTime-c.server.loop.Now())
+	undeliveredBytes, _ := c.conn.UndeliveredOutput()
+	return float64(undeliveredBytes) > timeLeft.Seconds()*slowReadRate
+}
