Clients: input that is no request does not keep a connection from being idle

A client that sends ignored records without end was never idle and never evicted: idle time counted from the last byte. It now counts from the last request, or part of one, and a client gets at most 1,000 replies to other records between two requests.

TestInputThatIsNoRequestDoesNotKeepAConnection: before, open after 10 s and not to be evicted; now closed after about 5 s.

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -16,6 +16,12 @@
 // is serving.
 const healthPath = "/alive"
 
+// maxConsecutiveReplies is the maximum number of replies to records, such as GET_VALUES, between two requests.
+const maxConsecutiveReplies = 1000
+
+// errTooManyReplies is the reason for reading no further from a client that has sent too many records without a request.
+var errTooManyReplies = errors.New("too many records that need a reply and are no request")
+
 // notSubmitted takes the place of a request's number while the request is blocked, or while submitRequest decides
 // whether to admit it.
 const notSubmitted = 0
@@ -39,6 +45,9 @@
 	skipBytes       int                 // bytes of a discarded record that have not been received yet
 	incompleteSince eventloop.Timestamp // when the wait for the first request, or the rest of one, began; 0: no wait
 
+	lastRequestAt      eventloop.Timestamp // when a request was last completed, rejected or aborted; before: when the client connected
+	consecutiveReplies int                 // replies to other records since then
+
 	polledAt          eventloop.Timestamp // when the client was last polled within a turn of the event loop
 	disconnectedSince eventloop.Timestamp // the client closed its sending side after this time; 0: that side is open
 }
@@ -91,6 +100,11 @@
 
 // handleEvent handles the event of one record. Most records produce no event; event is then nil.
 func (c *clientConn) handleEvent(event fastcgi.Event) {
+	_, isReply := event.(fastcgi.Reply)
+	if event != nil && !isReply {
+		c.lastRequestAt = c.server.loop.Now()
+		c.consecutiveReplies = 0
+	}
 	switch event := event.(type) {
 	case *fastcgi.Request:
 		c.handleRequest(event)
@@ -103,12 +117,23 @@
 	case fastcgi.Abort:
 		c.handleAbort(event.ID)
 	case fastcgi.Reply:
-		c.conn.Write(event.Data)
-		c.closeUnlessKept(!event.Close)
-		c.closeIfDone()
+		c.handleReply(event)
 	}
 }
 
+// handleReply writes a reply to a record that is no part of a complete request. A client that only has such records to
+// send is not read further.
+func (c *clientConn) handleReply(reply fastcgi.Reply) {
+	c.consecutiveReplies++
+	if c.consecutiveReplies > maxConsecutiveReplies {
+		c.stopReading(errTooManyReplies)
+		return
+	}
+	c.conn.Write(reply.Data)
+	c.closeUnlessKept(!reply.Close)
+	c.closeIfDone()
+}
+
 // handleRequest answers a health check, and submits or blocks any other request.
 func (c *clientConn) handleRequest(r *fastcgi.Request) {
 	c.completeRequests++
--- a/internal/proxy/clientidle.go
+++ b/internal/proxy/clientidle.go
@@ -8,11 +8,16 @@
 	"cloverdoor/policy"
 )
 
-// idleTime returns the time since the client last sent something or received a part of its answers. It is meaningless
-// while the client has yet to receive a part of them.
+// idleTime returns the time since the client last sent a request or a part of one, or received a part of its answers.
+// Other input does not count: a client could keep its connection for ever with it. The result is meaningless while the
+// client has yet to receive a part of its answers.
 func (c *clientConn) idleTime() time.Duration {
 	_, deliveredAt := c.conn.UndeliveredOutput()
-	return c.server.loop.Now() - max(c.conn.LastReceived(), deliveredAt)
+	lastInput := c.lastRequestAt
+	if c.hasPartialRequest() {
+		lastInput = c.conn.LastReceived()
+	}
+	return c.server.loop.Now() - max(lastInput, deliveredAt)
 }
 
 // isReceiving reports whether the client has yet to receive a part of its answers, or probably still reads what its
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -90,7 +90,7 @@
 	f.acceptedConns++
 	c := &clientConn{
 		server: f, number: f.acceptedConns, conn: conn,
-		openRequests: map[uint16]int64{}, incompleteSince: f.loop.Now(),
+		openRequests: map[uint16]int64{}, incompleteSince: f.loop.Now(), lastRequestAt: f.loop.Now(),
 	}
 	f.conns[c] = true
 	return c
