Drain: see by its receive window that a client has yet to read its answers

The receive window of the client's system shrinks by what the client has not read (TCP_INFO, tcpi_snd_wnd): a connection is not closed while that says so, for as long as 0.3 MB/s takes and at most 1 s after the client was last seen to read. Evictions and idle closes ask it as well. The longest delivery time of the last second counts. A request whose answer could not be read in time, by twice that time, is rejected.

--- a/cmd/edgeproxy/clienthabits_test.go
+++ b/cmd/edgeproxy/clienthabits_test.go
@@ -3,31 +3,37 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // habit says how a client uses its connection. The zero value connects and sends nothing.
 type habit struct {
-	name         string
-	interval     time.Duration // from one request to the next, whether answered or not; 0: see afterAnswer
-	afterAnswer  time.Duration // from an answer to the next request, with interval 0; negative: no further request
-	outstanding  int           // requests that are sent at the start, with interval 0
-	class        string        // of the requests; empty: artes
-	firstClass   string        // of the first request, if it differs
-	readRate     int           // bytes read per second; 0: at once
-	largeAnswers bool          // asks for objects of largeObjectBytes
-	stopsAsking  time.Duration // after the start of the drain or shutdown; 0: never
-	partBytes    int           // writes so many bytes of a further request, one every partInterval, and no more
+	name        string
+	interval    time.Duration // from one request to the next, whether answered or not; 0: see afterAnswer
+	afterAnswer time.Duration // from an answer to the next request, with interval 0; negative: no further request
+	outstanding int           // requests that are sent at the start, with interval 0
+	class       string        // of the requests; empty: artes
+	firstClass  string        // of the first request, if it differs
+	readRate    int           // bytes read per second; 0: at once
+	firstObject int           // number of the first object; see firstMediumObject
+	stopsAsking time.Duration // after the start of the drain or shutdown; 0: never
+	partBytes   int           // writes so many bytes of a further request, one every partInterval, and no more
 }
 
 const (
-	// firstLargeObject is the number of the first object whose answer has largeObjectBytes.
-	firstLargeObject = 100_000
-	largeObjectBytes = 200_000
-	partInterval     = 40 * time.Millisecond
-	// crossingTime is the time before the end of a connection within which a request is sent again, by the protocol, with
-	// 10 ms for this process.
+	// The answers for the objects from these numbers on have so many bytes. Others are short.
+	firstMediumObject = 100_000
+	mediumObjectBytes = 10_000
+	firstLargeObject  = 200_000
+	largeObjectBytes  = 200_000
+	partInterval      = 40 * time.Millisecond
+	// crossingTime is the time before and after the arrival of the end of a connection within which a request is sent
+	// again, by the protocol, with 10 ms for this process.
 	crossingTime = 60 * time.Millisecond
 )
 
@@ -36,8 +42,9 @@
 	habit
 	sentAt     map[uint16]time.Time // requests without an answer, by FastCGI id
 	lastAnswer time.Time
-	endedAt    time.Time // when the client read the end of its connection
-	mu         sync.Mutex
+	endedAt    time.Time  // when the client read the end of its connection
+	finAt      time.Time  // when that end arrived, if it was seen before it was read
+	mu         sync.Mutex // guards finAt
 	openClient *client
 	orderedAt  chan time.Time // receives the start of the drain or shutdown
 	done       chan struct{}  // closed at the end of the connection
@@ -75,9 +82,35 @@
 		orderedAt: make(chan time.Time, 1), done: make(chan struct{}),
 	}
 	go c.run()
+	if limited, isLimited := conn.(rateLimitedConn); isLimited {
+		go c.watchForEnd(limited)
+	}
 	return c
 }
 
+// watchForEnd records when the program's end of the connection arrives, which the client reads only behind its answers.
+func (c *habitClient) watchForEnd(conn rateLimitedConn) {
+	const tcpCloseWait = 8 // TCP_CLOSE_WAIT of linux/tcp_states.h
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	for arrived := false; !arrived; time.Sleep(time.Millisecond) {
+		select {
+		case <-c.done:
+			return
+		default:
+		}
+		raw.Control(func(fd uintptr) { //nolint:errcheck // then done follows
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			arrived = err == nil && info.State == tcpCloseWait
+		})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finAt = time.Now()
+}
+
 // run follows the habit until the connection ends.
 func (c *habitClient) run() {
 	defer close(c.done)
@@ -137,9 +170,7 @@
 	if id == 1 && c.firstClass != "" {
 		class = c.firstClass
 	}
-	if c.largeAnswers {
-		object += firstLargeObject
-	}
+	object += c.firstObject
 	(&client{Conn: out}).request(id, class, longTimeoutMS, object, "")
 	c.sentAt[id] = time.Now()
 	out.flush()
@@ -158,28 +189,33 @@
 // lostRequests describes the requests that got no answer although they did not cross the end of the connection, and of
 // which the client still had no whole answer then.
 func (c *habitClient) lostRequests() (lost []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	end := c.endedAt
+	if !c.finAt.IsZero() {
+		end = c.finAt
+	}
 	for id, sentAt := range c.sentAt {
-		if c.endedAt.Sub(sentAt) > crossingTime {
-			lost = append(lost, fmt.Sprintf("request %d, sent %v before the end", id, c.endedAt.Sub(sentAt)))
+		if end.Sub(sentAt).Abs() > crossingTime {
+			lost = append(lost, fmt.Sprintf("request %d, sent %v before the end", id, end.Sub(sentAt)))
 		}
 	}
 	return lost
 }
 
-// answerByObject answers all calls at the cache from now on: with largeObjectBytes for the objects from firstLargeObject
-// on, and shortly otherwise.
+// answerByObject answers all calls at the cache from now on, with the number of bytes that belongs to the object.
 func (s *fakeServer) answerByObject() {
-	large := make([]byte, largeObjectBytes)
-	for i := range large {
-		large[i] = 'x'
-	}
-	threshold := fmt.Sprintf("%016x", firstLargeObject)
+	large := strings.Repeat("x", largeObjectBytes)
 	go func() {
 		for call := range s.calls {
-			if call.fields["k"] >= threshold {
-				call.answer("served", "-", string(large))
-			} else {
+			object, err := strconv.ParseInt(call.fields["k"], 16, 64)
+			switch {
+			case err != nil || object < firstMediumObject:
 				call.answer("served", "-", "short")
+			case object < firstLargeObject:
+				call.answer("served", "-", large[:mediumObjectBytes])
+			default:
+				call.answer("served", "-", large)
 			}
 		}
 	}()
--- a/cmd/edgeproxy/drainhabits_test.go
+++ b/cmd/edgeproxy/drainhabits_test.go
@@ -38,11 +38,13 @@
 // slowHabits are those of clients that read slowly.
 func slowHabits() []habit {
 	return []habit{
-		{name: "1 MB/s, asks at once", readRate: 1_000_000, largeAnswers: true, outstanding: 1},
-		{name: "0.3 MB/s, asks at once", readRate: 300_000, largeAnswers: true, outstanding: 1},
-		{name: "1 MB/s, 4 answers, asks for 0.8 s", readRate: 1_000_000, largeAnswers: true, outstanding: 4, stopsAsking: 800 * time.Millisecond},
-		{name: "1 MB/s, 12 answers, asks for 1.6 s", readRate: 1_000_000, largeAnswers: true, outstanding: 12, stopsAsking: 1600 * time.Millisecond},
-		{name: "1 MB/s, 12 answers, asks at once", readRate: 1_000_000, largeAnswers: true, outstanding: 12},
+		{name: "1 MB/s, asks at once", readRate: 1_000_000, firstObject: firstLargeObject, outstanding: 1},
+		{name: "0.3 MB/s, asks at once", readRate: 300_000, firstObject: firstLargeObject, outstanding: 1},
+		{name: "1 MB/s, 4 answers, asks for 0.8 s", readRate: 1_000_000, firstObject: firstLargeObject, outstanding: 4, stopsAsking: 800 * time.Millisecond},
+		{name: "1 MB/s, 12 answers, asks for 1.6 s", readRate: 1_000_000, firstObject: firstLargeObject, outstanding: 12, stopsAsking: 1600 * time.Millisecond},
+		{name: "1 MB/s, 12 answers, asks at once", readRate: 1_000_000, firstObject: firstLargeObject, outstanding: 12},
+		{name: "0.3 MB/s, 16 answers of 10 KB, asks at once", readRate: 300_000, firstObject: firstMediumObject, outstanding: 16},
+		{name: "1 MB/s, 16 answers of 10 KB, asks at once", readRate: 1_000_000, firstObject: firstMediumObject, outstanding: 16},
 	}
 }
 
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -41,6 +41,7 @@
 
 	delays   inputDelays
 	delivery delivery
+	peer     peerWindow
 }
 
 // Connected reports whether the handshake is complete.
--- a/internal/eventloop/delivery.go
+++ b/internal/eventloop/delivery.go
@@ -16,9 +16,14 @@
 	shutdownAt    Timestamp // when the output was shut down; 0: it was not
 	writtenBytes  int       // all bytes that were written
 	timing        timedOutput
-	lastTimedWait time.Duration // the wait of the last output whose timing is complete
+	longestWait   time.Duration // of the outputs that were timed within waitMemory, or of the last one timed
+	longestWaitAt Timestamp     // when that timing was completed
 }
 
+// waitMemory is the time for which the wait of an output counts after it was timed. Short outputs behind it are
+// acknowledged at once, although the peer may still read it.
+const waitMemory = time.Second
+
 // timedOutput is an output whose wait for its acknowledgment is measured.
 type timedOutput struct {
 	end      int           // number of bytes that will have been written with its last byte; 0: no output is timed
@@ -69,11 +74,11 @@
 }
 
 // DeliveryTime returns how long output waits from its queueing to its acknowledgment, as far as calls of
-// UndeliveredOutput have seen it wait. One output is timed at a time, as TCP times its segments (RFC 6298, section 3);
-// while one waits for longer than the last one did, its wait counts. A peer that reads slowly may take as long again to
-// read what its system still holds.
+// UndeliveredOutput have seen it wait: the longest wait within waitMemory, or the one that goes on if that is longer. One
+// output is timed at a time, as TCP times its segments (RFC 6298, section 3). A peer that reads slowly may take as long
+// again to read what its system still holds.
 func (c *Conn) DeliveryTime() time.Duration {
-	return max(c.delivery.lastTimedWait, c.delivery.timing.wait)
+	return max(c.delivery.longestWait, c.delivery.timing.wait)
 }
 
 // ShutdownDelivered reports whether the output was shut down at least so long ago, and the peer's system has received
@@ -105,13 +110,21 @@
 		d.timing.wait = now - d.timing.queuedAt
 		return
 	}
-	d.lastTimedWait = d.timing.wait
+	d.recordWait(now, d.timing.wait)
 	d.timing = timedOutput{}
 	if d.unackedBytes+queuedBytes > 0 {
 		d.timing = timedOutput{end: d.writtenBytes + queuedBytes, queuedAt: d.queuedAt}
 	}
 }
 
+// recordWait records the wait of an output, unless a longer one still counts.
+func (d *delivery) recordWait(now Timestamp, wait time.Duration) {
+	if wait >= d.longestWait || now-d.longestWaitAt > waitMemory {
+		d.longestWait = wait
+		d.longestWaitAt = now
+	}
+}
+
 // recordQueued records that size bytes are queued behind queuedBytes others. It starts the wait for the peer if no other
 // output waits for it.
 func (d *delivery) recordQueued(now Timestamp, queuedBytes, size int) {
--- a/internal/proxy/clientidle.go
+++ b/internal/proxy/clientidle.go
@@ -8,6 +8,10 @@
 	"cloverdoor/policy"
 )
 
+// slowestReadRate is the number of bytes a second that a client reads at the least, for the time that it needs to read what
+// its system holds.
+const slowestReadRate = 300_000
+
 // idleTime returns the time since the client last sent a request or a part of one, or received a part of its answers.
 // Other input does not count: a client could keep its connection for ever with it. The result is meaningless while the
 // client has yet to receive a part of its answers.
@@ -35,6 +39,19 @@
 	return undeliveredBytes == 0 && c.readsSlowly() && c.server.loop.Now()-deliveredAt < readingTime
 }
 
+// hasUnreadAnswers reports whether the client has received all its answers and, by the window of its system, has yet to
+// read some of them. It makes a system call only within maxReadingTime of the time at which the client last received or
+// read something.
+func (c *clientConn) hasUnreadAnswers() bool {
+	undeliveredBytes, deliveredAt := c.conn.UndeliveredOutput()
+	if undeliveredBytes > 0 || c.server.loop.Now()-max(deliveredAt, c.conn.PeerReadAt()) >= maxReadingTime {
+		return false
+	}
+	unreadBytes, readAt := c.conn.UnreadByPeer()
+	readingTime := time.Duration(float64(unreadBytes) / slowestReadRate * float64(time.Second))
+	return c.server.loop.Now()-max(deliveredAt, readAt) < min(readingTime, maxReadingTime)
+}
+
 // readsSlowly reports whether the client's answers wait for its reading, and not just for a delayed acknowledgment.
 func (c *clientConn) readsSlowly() bool { return c.conn.DeliveryTime() > crossingTime }
 
@@ -62,6 +79,7 @@
 	return policy.CloseInfo{
 		OpenRequests:   len(c.openRequests),
 		QueuedBytes:    c.conn.QueuedBytes(),
+		ClientReading:  c.hasUnreadAnswers,
 		HasUnreadInput: c.conn.HasUnreadInput,
 		UnackedBytes:   c.conn.UnackedBytes,
 	}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -82,12 +82,18 @@
 		QueuedBytes:    c.conn.QueuedBytes(),
 		PartialRequest: c.hasPartialRequest(),
 		RecentlyUsed:   c.expectsRequest(),
-		ClientReading:  c.readsSlowly() && c.isReceiving(),
+		ClientReading:  c.mayHaveUnreadAnswers,
 		UnsentBytes:    c.conn.UnsentBytes,
 		HasUnreadInput: c.conn.HasUnreadInput,
 	}
 }
 
+// mayHaveUnreadAnswers reports whether the client has answers that it has yet to read, as far as that can be seen, and would
+// not notice the end of the connection before it has read them.
+func (c *clientConn) mayHaveUnreadAnswers() bool {
+	return c.readsSlowly() && c.isReceiving() || c.hasUnreadAnswers()
+}
+
 // hasNoTimeForAnswer reports whether a client that reads slowly would not receive the answer to a further request before
 // its connection has to be closed, because of the answers before it.
 func (c *clientConn) hasNoTimeForAnswer() bool {
@@ -97,5 +103,8 @@
 	closeTime, _ := c.server.lifecycle.closeTime(c.conn.CreatedAt())
 	timeLeft := max(0, closeTime-c.server.loop.Now())
 	undeliveredBytes, _ := c.conn.UndeliveredOutput()
-	return float64(undeliveredBytes) > timeLeft.Seconds()*slowReadRate
+	if float64(undeliveredBytes) > timeLeft.Seconds()*slowReadRate {
+		return true
+	}
+	return c.readsSlowly() && timeLeft < 2*c.conn.DeliveryTime() // once to be received by its system, once to be read
 }
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -19,7 +19,8 @@
 	criticalWriteStallTimeout = 200 * time.Millisecond
 	// maxClosingTime is the longest time that a client may take to receive its answers once its connection is closing.
 	maxClosingTime = time.Minute
-	// maxReadingTime is the longest time for which a client counts as reading after its system has received all answers.
+	// maxReadingTime is the longest time for which a client counts as reading after its system has received all answers, or
+	// it was last seen to read.
 	maxReadingTime = time.Second
 	// idleTimeout is the longest time that a connection may go without input from the client, counted from when the
 	// client's system has received all answers.
@@ -110,7 +111,7 @@
 // overdue.
 func (f *FastCGIServer) checkConn(c *clientConn) {
 	c.rejectOverdueBlocked(f.loop.Now())
-	c.conn.UndeliveredOutput() // notices acknowledgments
+	c.conn.ObservePeer()
 	if c.isStalled() {
 		c.closeStalled(eventloop.ErrWriteStalled)
 		return
--- a/policy/guard.go
+++ b/policy/guard.go
@@ -87,20 +87,22 @@
 	return Verdict{}
 }
 
-// CloseInfo describes a client's connection that might be closed. HasUnreadInput is required. Any other field
-// that is left zero is not checked: PartialRequest is left zero for a close after a timeout, as a client may
+// CloseInfo describes a client's connection that might be closed. HasUnreadInput is required. The functions make system
+// calls. Any other field that is left zero is not checked: PartialRequest is left zero for a close after a timeout, as a client may
 // then lose a request that it has sent in part.
 type CloseInfo struct {
 	OpenRequests   int  // requests that arrived completely and are not answered
 	PartialRequest bool // a request has arrived in part
 	QueuedBytes    int  // bytes of answers that are not yet written
 	RecentlyUsed   bool // used so recently that a request may be on its way
-	ClientReading  bool // the client may still read answers that its system has received
 
 	// HasUnreadInput reports whether input has arrived that was not read. It is called last, as it makes a
 	// system call.
 	HasUnreadInput func() bool
 
+	// ClientReading reports whether the client may have yet to read answers that its system has received. Nil: not checked.
+	ClientReading func() bool
+
 	// UnsentBytes returns the number of bytes that this host has not sent yet: the end of the connection would follow
 	// behind them. Nil: not checked.
 	UnsentBytes func() int
@@ -120,7 +122,7 @@
 		return Verdict{RuleAnswer, ReasonPartialRequest}
 	case info.RecentlyUsed:
 		return Verdict{RuleAnswer, ReasonInUse}
-	case info.ClientReading:
+	case info.ClientReading != nil && info.ClientReading():
 		return Verdict{RuleAnswer, ReasonReading}
 	case info.UnsentBytes != nil && info.UnsentBytes() > 0:
 		return Verdict{RuleAnswer, ReasonUnsentOutput}
