soak: rules for drains, and clients with habits that use their connections until the kill

The checker had no rule on drains, and clients were too few and too random to hold a drain or a shutdown up. New rules: not ready in a drain; no connection held at 4 s, idle or with a request of the last 2 s; ready within 2 s of its end. Drains last for over 4 s in half of the cases; new faults drain-again and drain-term. Before each drain, restart and takeover, and before the end of a run, clients with habits connect: steady from 1 to 100 ms, the next request after each answer, pipelining, slow readers, trickling, silent. They go on until their connections end. The settings' deadlines differ, so that kills come 1.0 to 3.7 s after SIGTERM.

Two checks of the crossing are made exact, by traces: a request whose write ends as the connection does is not yet recorded as sent, and no longer takes the excuse from the others on that connection; for a slow reader the end counts from its arrival, not from when it is read, and a request sent over 60 ms after that is not excused any more. An answer to a slow reader is late only beyond the time that its reading takes (PROTOCOL: it is not counted): one was 0.001 s late behind 15 others.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -52,6 +52,9 @@
 	for _, inc := range h.Incarnations {
 		c.checkIncarnation(inc)
 	}
+	for _, drain := range h.Drains {
+		c.checkProxyDrain(drain)
+	}
 	return c.violations
 }
 
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -84,6 +84,10 @@
 			h.Requests[0].DisconnectedAt = 11 * time.Second
 		}, "lost"},
 		{"late answer", func(h *History) { h.Requests[0].Answers[0].At = 12 * time.Second }, "late answer"},
+		{"late answer to a client that reads slowly", func(h *History) {
+			h.Requests[0].Answers[0].At = 12 * time.Second
+			h.Requests[0].ReadingTime = time.Second
+		}, ""},
 		{"late answer from a process that was paused", func(h *History) {
 			h.Requests[0].Answers[0].At = 12 * time.Second
 			h.Incarnations[0].Paused = []Span{{10 * time.Second, 11 * time.Second}}
@@ -133,6 +137,30 @@
 		{"has to be killed", func(h *History) { h.Incarnations[0].KilledAt = 35 * time.Second }, "late end"},
 		{"uses too much memory", func(h *History) { h.Incarnations[0].PeakMemoryKB = 1001 }, "memory"},
 		{"uses too many descriptors", func(h *History) { h.Incarnations[0].PeakDescriptors = 101 }, "descriptors"},
+		{"drained in time", drained(func(_ *Drain, conn *Conn) { conn.EndedAt = 17 * time.Second }), ""},
+		{"idle connection held in a drain", drained(func(_ *Drain, conn *Conn) { conn.EndedAt = 20 * time.Second }), "held"},
+		{"idle connection held to the end", drained(func(*Drain, *Conn) {}), "held"},
+		{"held with a request of the last 2 s", drained(func(_ *Drain, conn *Conn) {
+			conn.Requests = []*Request{{ID: "late", SentAt: 17500 * time.Millisecond, CancelledAt: 17600 * time.Millisecond}}
+		}), "held"},
+		{"held with an old open request", drained(func(_ *Drain, conn *Conn) {
+			conn.Requests = []*Request{{ID: "old", SentAt: 14 * time.Second, CancelledAt: 25 * time.Second}}
+		}), ""},
+		{"opened by a crowd just before the limit", drained(func(_ *Drain, conn *Conn) { conn.OpenedAt = 17900 * time.Millisecond }), ""},
+		{"drain that ends before the limit", drained(func(drain *Drain, _ *Conn) {
+			drain.EndOrderedAt = 16 * time.Second
+			drain.ReadyAgainAt = 16100 * time.Millisecond
+		}), ""},
+		{"held while the process was paused", drained(func(_ *Drain, conn *Conn) { conn.EndedAt = 19 * time.Second },
+			Span{15 * time.Second, 17 * time.Second}), ""},
+		{"ready in a drain", drained(func(drain *Drain, conn *Conn) {
+			drain.ReadyAt = 15 * time.Second
+			conn.EndedAt = 17 * time.Second
+		}), "ready in a drain"},
+		{"not ready after a drain", drained(func(drain *Drain, conn *Conn) {
+			drain.ReadyAgainAt = 23 * time.Second
+			conn.EndedAt = 17 * time.Second
+		}), "not ready after a drain"},
 		{"more calls than the slow start allows", func(h *History) { slowStartBurst(h, 50) }, "cold start"},
 		{"as many calls as the slow start allows", func(h *History) { slowStartBurst(h, 43) }, ""},
 	} {
@@ -177,6 +205,22 @@
 	}
 }
 
+// drained adds a drain of the process from 14 s to 20 s, and a connection to it that was opened at 5 s and has not ended.
+// change then changes both. The process was paused in the given spans, and has not been told to end.
+func drained(change func(*Drain, *Conn), paused ...Span) func(*History) {
+	return func(h *History) {
+		drain := &Drain{Proxy: 1, Incarnation: 1, OrderedAt: 14 * time.Second, EndOrderedAt: 20 * time.Second,
+			ReadyAgainAt: 20100 * time.Millisecond}
+		conn := &Conn{Proxy: 1, Incarnation: 1, OpenedAt: 5 * time.Second}
+		change(drain, conn)
+		h.Drains = append(h.Drains, drain)
+		h.Conns = append(h.Conns, conn)
+		h.Incarnations[0].Paused = paused
+		h.Incarnations[0].SigtermAt = 0
+		h.Incarnations[0].ExitedAt = 0
+	}
+}
+
 // drainInTakeover adds a second process of the proxy, which has just started and serves the read, and a drain of the
 // cache that was delivered as given.
 func drainInTakeover(h *History, deliveredAt map[processID]time.Duration) {
--- a/internal/soak/clientconn.go
+++ b/internal/soak/clientconn.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -36,6 +38,10 @@
 	incarnation int // number of the proxy's incarnation
 	openedAt    time.Duration
 	outputs     map[uint16][]byte // output so far by request ID; used only by readAnswers
+	record      *Conn             // guarded by the history's lock
+	finAt       atomic.Int64      // when the proxy's end of the connection arrived, if the client may read it much later; 0: unknown
+	answered    chan struct{}     // gets a value for each answer; nil: nobody waits
+	closed      chan struct{}     // closed at the end of the connection
 
 	mu               sync.Mutex // guards the fields below
 	lastID           uint16
@@ -47,11 +53,14 @@
 }
 
 func newClientConn(pc *proxyClients, conn net.Conn, incarnation int) *clientConn {
-	return &clientConn{
+	c := &clientConn{
 		clients: pc, history: pc.history, conn: conn, number: pc.dialedConns, incarnation: incarnation,
 		openedAt: pc.history.Now(), openRequests: map[uint16]*Request{}, answeredRequests: map[uint16]*Request{},
-		outputs: map[uint16][]byte{}, lastUsedAt: pc.history.Now(),
+		outputs: map[uint16][]byte{}, lastUsedAt: pc.history.Now(), closed: make(chan struct{}),
 	}
+	c.record = &Conn{Proxy: pc.proxy.number, Incarnation: incarnation, OpenedAt: c.openedAt}
+	c.history.withLock(func() { c.history.Conns = append(c.history.Conns, c.record) })
+	return c
 }
 
 // state reports whether the connection has been idle for idleCloseAfter, and whether it has ended.
@@ -72,7 +81,10 @@
 	req.FirstOnConnection = c.requestCount == 0
 	c.requestCount++
 	c.lastUsedAt = c.history.Now()
-	c.history.withLock(func() { c.history.Requests = append(c.history.Requests, req) })
+	c.history.withLock(func() {
+		c.history.Requests = append(c.history.Requests, req)
+		c.record.Requests = append(c.record.Requests, req)
+	})
 	return c.lastID
 }
 
@@ -162,6 +174,10 @@
 		c.history.withLock(func() { req.Answers = append(req.Answers, answer) })
 	}
 	c.history.Logf("client", "%s answered %s %q", req.ID, status, answer.Body[:min(len(answer.Body), timelineBodyBytes)])
+	select {
+	case c.answered <- struct{}{}:
+	default: // nobody waits
+	}
 }
 
 // takeRequest marks the request with an ID as answered and returns it, even if it was answered before. It returns nil
@@ -181,17 +197,17 @@
 
 // connEnd is how a connection ended, as its client saw it.
 type connEnd struct {
-	at       time.Duration
-	received bool // the proxy's system has acknowledged at least one byte of the client's
-	crowded  bool // idle clients filled the proxy's descriptors then
+	at       time.Duration // when the end arrived; where that is not known, when the client read it
+	received bool          // the proxy's system has acknowledged at least one byte of the client's
+	crowded  bool          // idle clients filled the proxy's descriptors then
 }
 
 // mayRaceIdleClose reports whether the proxy may have closed the connection as idle before it read a request: the
-// request was sent in full less than idleCloseRaceWindow before the close, and is not the first one on a connection
+// request was sent in full less than idleCloseRaceWindow before or after the close, and is not the first one on a connection
 // younger than unusedIdleAge. A proxy whose descriptors are filled by idle clients may close a younger one too, but only
 // before anything on it was received.
 func (c *clientConn) mayRaceIdleClose(req *Request, end connEnd) bool {
-	if req.SentAt == 0 || end.at-req.SentAt >= idleCloseRaceWindow {
+	if req.SentAt == 0 || end.at-req.SentAt >= idleCloseRaceWindow || req.SentAt-end.at >= idleCloseRaceWindow {
 		return false
 	}
 	if !req.FirstOnConnection || req.SentAt-c.openedAt > unusedIdleAge {
@@ -200,6 +216,17 @@
 	return end.crowded && !end.received
 }
 
+// isBeingSent reports whether the last byte of a request may just have been written when the connection ended, so that it
+// is not recorded yet, and the request may race with the close.
+func (c *clientConn) isBeingSent(req *Request, end connEnd) bool {
+	if req.SentAt != 0 {
+		return false
+	}
+	sentNow := *req
+	sentNow.SentAt = end.at
+	return c.mayRaceIdleClose(&sentNow, end)
+}
+
 // synBytes is what Linux counts as acknowledged for the SYN of a connection.
 const synBytes = 1
 
@@ -227,8 +254,10 @@
 // recordClose records which requests were open when the connection ended. If all of them may have raced with the
 // proxy's close of an idle connection, they require no answer.
 func (c *clientConn) recordClose() {
+	defer close(c.closed)
 	now := c.history.Now()
-	end := connEnd{at: now, received: received(c.conn), crowded: c.clients.proxy.idleCrowds.Load() > 0}
+	c.history.withLock(func() { c.record.EndedAt = now })
+	end := connEnd{at: cmp.Or(time.Duration(c.finAt.Load()), now), received: received(c.conn), crowded: c.clients.proxy.idleCrowds.Load() > 0}
 	c.conn.Close() //nolint:errcheck // the proxy has closed it
 	c.mu.Lock()
 	c.ended = true
@@ -238,7 +267,7 @@
 	raced := true
 	c.history.withLock(func() {
 		for _, req := range openRequests {
-			raced = raced && c.mayRaceIdleClose(req, end)
+			raced = raced && (c.mayRaceIdleClose(req, end) || c.isBeingSent(req, end))
 		}
 	})
 	for _, req := range openRequests {
--- a/internal/soak/clientconn_test.go
+++ b/internal/soak/clientconn_test.go
@@ -30,6 +30,8 @@
 		{"first on a fresh connection in a crowd", closedAt - 400*time.Millisecond, closedAt - 20*time.Millisecond, true, receivedInCrowd, false},
 		{"the same, not received", closedAt - 400*time.Millisecond, closedAt - 20*time.Millisecond, true, unreceivedInCrowd, true},
 		{"the same, sent long before the close", closedAt - 400*time.Millisecond, closedAt - 100*time.Millisecond, true, unreceivedInCrowd, false},
+		{"sent right after the end arrived", time.Second, closedAt + 20*time.Millisecond, false, received, true},
+		{"sent long after the end arrived", time.Second, closedAt + 100*time.Millisecond, false, received, false},
 		{"not sent in full", time.Second, 0, false, received, false},
 	} {
 		conn := &clientConn{openedAt: c.openedAt}
@@ -40,6 +42,29 @@
 	}
 }
 
+// TestRequestIsBeingSent checks that a request whose last byte is being written when the connection ends excuses no other
+// request, and is excused itself only where a request that was just sent would be.
+func TestRequestIsBeingSent(t *testing.T) {
+	const closedAt = 10 * time.Second
+	end := connEnd{at: closedAt, received: true}
+	for _, c := range []struct {
+		name              string
+		openedAt, sentAt  time.Duration
+		firstOnConnection bool
+		want              bool
+	}{
+		{"on a used connection", time.Second, 0, false, true},
+		{"first on a fresh connection", closedAt - 400*time.Millisecond, 0, true, false},
+		{"sent before", time.Second, closedAt - 100*time.Millisecond, false, false},
+	} {
+		conn := &clientConn{openedAt: c.openedAt}
+		req := &Request{SentAt: c.sentAt, FirstOnConnection: c.firstOnConnection}
+		if got := conn.isBeingSent(req, end); got != c.want {
+			t.Errorf("%s: being sent: %v, want the opposite", c.name, got)
+		}
+	}
+}
+
 // TestReceived checks that the soak test knows whether anything that a client sent has reached the other side's system,
 // also if that side has closed the connection without reading it.
 func TestReceived(t *testing.T) {
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -131,6 +131,12 @@
 
 // dial connects to the proxy. It returns nil if clients may not connect now or the connection fails.
 func (pc *proxyClients) dial() *clientConn {
+	return pc.dialWith(func(conn net.Conn) net.Conn { return conn }, 0)
+}
+
+// dialWith is dial for a connection that wrap changes before it is used. If answersAwaited is over 0, the connection's
+// channel of answers gets that capacity.
+func (pc *proxyClients) dialWith(wrap func(net.Conn) net.Conn, answersAwaited int) *clientConn {
 	state := pc.proxy.admission()
 	if !state.acceptsConns {
 		return nil
@@ -141,7 +147,10 @@
 		return nil
 	}
 	pc.dialedConns++
-	c := newClientConn(pc, conn, state.incarnation)
+	c := newClientConn(pc, wrap(conn), state.incarnation)
+	if answersAwaited > 0 {
+		c.answered = make(chan struct{}, answersAwaited)
+	}
 	go c.readAnswers()
 	return c
 }
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -21,6 +21,8 @@
 	Events       []*WatchEvent
 	Starts       []ServerStart
 	Incarnations []*Incarnation
+	Conns        []*Conn
+	Drains       []*Drain
 	Withheld     map[int][]Span // by proxy number: spans in which the coordinator sent the proxy no events
 
 	mu               sync.Mutex // guards the fields above while the run lasts, and those below
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -49,14 +49,15 @@
 	switch f.Kind {
 	case "freeze":
 		p.pause(f.Duration)
-	case "drain-order":
-		p.drain(f.Duration)
+	case "drain-order", "drain-again", "drain-term":
+		r.drainProxy(p, f)
 	case "reload", "broken-reload":
 		p.awaitReloadable()
 		r.recordFailure(r.rewriteConfig(p, f))
 		p.signal(reloadSignal)
 	case "hand-over":
 		if p.socket != nil {
+			r.startHabits(p, f)
 			p.environment = nil
 			r.recordFailure(p.replace())
 		}
@@ -83,6 +84,7 @@
 func (r *run) restartProcess(p *process, f Fault) {
 	takeover := p.socket != nil && f.Kind != "kill"
 	r.prepareRestart(p, f)
+	r.startHabits(p, f)
 	if !takeover {
 		r.endProcess(p, f)
 	}
@@ -138,7 +140,7 @@
 // hangServers makes the origin and half of the caches hang for longer than a shutdown takes. It returns after
 // hangBeforeSigterm, so that requests are waiting at the hung servers.
 func (r *run) hangServers(f Fault) {
-	end := r.history.Now() + hangBeforeSigterm + maxShutdown()
+	end := r.history.Now() + hangBeforeSigterm + maxDeadline + killDelay
 	r.origin.extendFault(&r.origin.hungUntil, end)
 	for i := range len(r.caches) / 2 {
 		s := r.caches[(f.Target+i)%len(r.caches)]
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -257,8 +257,8 @@
 	p.cmd.Process.Signal(s) //nolint:errcheck // it may have exited
 }
 
-// terminate ends the current incarnation by SIGTERM, and kills it if it has not exited within maxShutdown. Clients
-// make requests on open connections for requestTime after the signal.
+// terminate ends the current incarnation by SIGTERM, and kills it if it has not exited within maxShutdown. Clients of the
+// kind of proxyClients make requests on open connections for requestTime after the signal.
 func (p *process) terminate(requestTime time.Duration) {
 	p.awaitSignalHandling()
 	p.mu.Lock()
@@ -271,14 +271,16 @@
 	time.AfterFunc(requestTime, func() { p.stopRequests(incarnation) })
 	select {
 	case <-exited:
-	case <-time.After(maxShutdown()):
+	case <-time.After(p.maxShutdown()):
 		p.kill()
 	}
 }
 
 // maxShutdown returns the time after SIGTERM at which the platform kills a process that still runs: the longest
 // deadline of the settings, but at most maxDeadline, plus killDelay.
-func maxShutdown() time.Duration { return min(classDeadline, maxDeadline) + killDelay }
+func (p *process) maxShutdown() time.Duration {
+	return min(classDeadline(p.number), maxDeadline) + killDelay
+}
 
 // kill ends the current incarnation by SIGKILL and waits for its exit.
 func (p *process) kill() {
@@ -321,7 +323,7 @@
 	oldCmd.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have exited
 	select {
 	case <-oldExited:
-	case <-time.After(maxShutdown()):
+	case <-time.After(p.maxShutdown()):
 		p.r.history.withLock(func() { oldIncarnation.KilledAt = p.r.history.Now() })
 		oldCmd.Process.Kill() //nolint:errcheck // it may have exited
 		<-oldExited
--- a/internal/soak/processfaults.go
+++ b/internal/soak/processfaults.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// connectTimeAfterDrainOrder is the time after the order to drain for which clients still open connections.
-	connectTimeAfterDrainOrder = 200 * time.Millisecond
 	// dialRetryInterval is the time between two attempts of an idle client to connect.
 	dialRetryInterval = 10 * time.Millisecond
 )
@@ -62,33 +60,6 @@
 	return os.WriteFile(p.configPath, text[:len(text)/2], 0o600)
 }
 
-// drain tells the proxy to drain, waits for connectTimeAfterDrainOrder and then for length, and tells the proxy to
-// serve again. After the first wait, clients open no connections, and use those that they have until the proxy
-// closes them.
-func (p *process) drain(length time.Duration) {
-	status, err := p.callAdmin("PUT", "/ops/drain/start")
-	if err != nil || status != statusOK {
-		p.r.history.Logf(p.name(), "drain order failed: status %d, error %v", status, err)
-		return
-	}
-	p.mu.Lock()
-	incarnation := p.incarnation
-	p.mu.Unlock()
-	time.Sleep(connectTimeAfterDrainOrder)
-	p.stopConns(incarnation)
-	time.Sleep(length)
-	status, err = p.callAdmin("PUT", "/ops/drain/stop")
-	if err != nil || status != statusOK {
-		p.r.history.Logf(p.name(), "order to stop draining failed: status %d, error %v", status, err)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.incarnation == incarnation && incarnation.SigtermAt == 0 && incarnation.ExitedAt == 0 {
-		p.acceptsConns = true
-	}
-}
-
 // connectIdleClients keeps idle connections open for a length of time, half as many as the proxy's limit on
 // descriptors: more than the proxy keeps for clients. A connection that the proxy closes is opened again.
 func (p *process) connectIdleClients(length time.Duration) {
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -41,6 +41,7 @@
 	Incarnation       int           // number of the proxy's incarnation
 	SentAt            time.Duration // when the last byte was written; 0: the request was not sent in full
 	Timeout           time.Duration // how long the client waits for an answer
+	ReadingTime       time.Duration // a length of time: how long the client may take to read the answers before its own
 	CancelledAt       time.Duration // when the client aborted it or disconnected
 	FirstOnConnection bool
 	AnswerNotRequired bool          // the request may have raced with the proxy's close of an idle connection
@@ -48,6 +49,23 @@
 	Answers           []FinalAnswer
 }
 
+// Conn holds a client's connection to a proxy as its client saw it.
+type Conn struct {
+	Proxy, Incarnation int
+	Habit              string // of its client; empty: a client that acts at random
+	OpenedAt, EndedAt  time.Duration
+	Requests           []*Request // in the order in which they were registered
+}
+
+// Drain is an operator's drain of a proxy.
+type Drain struct {
+	Proxy, Incarnation int
+	OrderedAt          time.Duration // when the order to drain was sent
+	ReadyAt            time.Duration // when the proxy was first found ready between the answer to that order and the end
+	EndOrderedAt       time.Duration // when the order to end the drain was answered
+	ReadyAgainAt       time.Duration // when the proxy was first found ready after that
+}
+
 // Call holds a call from a proxy as its server read it.
 type Call struct {
 	Server, ID, Class, Object string
--- a/internal/soak/rule_answers.go
+++ b/internal/soak/rule_answers.go
@@ -48,7 +48,7 @@
 	if req.SentAt == 0 || req.CancelledAt != 0 || req.AnswerNotRequired || incarnation == nil {
 		return 0, false
 	}
-	due = incarnation.afterRunningFor(req.SentAt, req.Timeout+answerSlack+machineSlack)
+	due = incarnation.afterRunningFor(req.SentAt, req.Timeout+req.ReadingTime+answerSlack+machineSlack)
 	due += c.history.observationSlack(req.SentAt, due) - machineSlack // due includes machineSlack already
 	if incarnation.KilledAt == 0 || incarnation.KilledAt >= due {
 		return due, true
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -141,11 +141,15 @@
 	r.terminateFleet()
 }
 
-// terminateFleet stops all proxies by SIGTERM. How they exit shows whether they had left anything open.
+// terminateFleet stops all proxies by SIGTERM, while clients with habits use them. How they exit shows whether they had
+// left anything open.
 func (r *run) terminateFleet() {
 	var proxies sync.WaitGroup
 	for _, p := range r.fleet {
-		proxies.Go(func() { p.terminate(requestTimeAfterSigterm) })
+		proxies.Go(func() {
+			r.startHabits(p, Fault{At: r.options.Duration + time.Duration(p.number)})
+			p.terminate(requestTimeUntilExit)
+		})
 	}
 	proxies.Wait()
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -27,7 +27,7 @@
 // the schedules of all seeds.
 var (
 	processFaults = []string{"freeze", "term", "kill", "reload", "broken-reload", "drain-order", "deaf-log", "wrong-clock", "failing-calls",
-		"hand-over", "crowd", "term-in-use", "signals", "term-hung"}
+		"hand-over", "crowd", "term-in-use", "signals", "term-hung", "drain-again", "drain-term"}
 	cacheFaults       = []string{"leave", "return", "crash", "hang", "slow", "spoil", "overload", "reset", "replace", "retire"}
 	coordinatorFaults = []string{"down", "silent", "slow-lines", "unknown-state", "unreadable-line", "unreadable-purge", "unknown-event",
 		"cut-lines", "half-lines", "short-lines", "double-lines"}
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -14,9 +14,15 @@
 	overloadMultiple    = 2 // multiple of a server's capacity above which it is overloaded
 	overloadWindow      = time.Second
 	maxDeadline         = 3 * time.Second
-	classDeadline       = 6 * time.Second // deadline of each class in the settings
 )
 
+// classDeadlines are the deadlines of the classes in the settings of the proxies, in turn by number. The kill comes early
+// after SIGTERM where they are short.
+var classDeadlines = []time.Duration{6 * time.Second, 800 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second}
+
+// classDeadline returns the deadline of all classes in the settings of the proxy with a number.
+func classDeadline(number int) time.Duration { return classDeadlines[number%len(classDeadlines)] }
+
 // The grace periods after a proxy was notified, as the rules set them.
 const (
 	drainGrace = 500 * time.Millisecond
@@ -43,7 +49,7 @@
 	return map[string]any{
 		"areas": []string{"hub", "edge"}, "host-types": []string{"std", "parent", "origin"}, "zone": 1,
 		"group-size": fleetSize, "index": number, "weight-source": "nominal",
-		"classes": classSettings(),
+		"classes": classSettings(classDeadline(number)),
 		"domain": map[string]any{
 			"direct": true, "root-kind": 2, "upper-kind": 1, "can-join": true, "pass-on": []bool{false, true, false},
 			"cleared-within-us": 6000000, "purge-slack-us": 300000, "peers-fill": "location", "one-flow-kb-per-s": flowBytesPerSecond / 1000,
@@ -61,11 +67,11 @@
 	}
 }
 
-// classSettings returns the settings of the classes of requests.
-func classSettings() []any {
+// classSettings returns the settings of the classes of requests, which have the same deadline.
+func classSettings(deadline time.Duration) []any {
 	class := func(name, semantics string, gain float64) map[string]any {
 		return map[string]any{
-			"name": name, "semantics": semantics, "promise-us": 500000, "deadline-us": classDeadline.Microseconds(), "gain": gain, "aim-stretch": 2.0,
+			"name": name, "semantics": semantics, "promise-us": 500000, "deadline-us": deadline.Microseconds(), "gain": gain, "aim-stretch": 2.0,
 		}
 	}
 	keyedClass := class(classKeyed, "idempotency_key", 1)
