--- a/internal/proxy/closereason.go
+++ b/internal/proxy/closereason.go
@@ -1,6 +1,6 @@
 package proxy
 
-// This file names the reasons for which client connections are closed, and logs each close.
+// This file names the reasons for which client connections are closed.
 
 import (
 	"errors"
@@ -27,32 +27,6 @@
 	closedAtTimeLimit   closeReason = "time_limit"      // clients are to be disconnected, and the time for that was over
 )
 
-// closeGracefully closes the connection for a reason once its output has been sent. The first reason counts.
-func (c *clientConn) closeGracefully(reason closeReason) {
-	if c.conn.Ended() {
-		return
-	}
-	c.setCloseReason(reason)
-	c.closingSince = c.server.loop.Now()
-	c.conn.CloseAfterFlush()
-}
-
-// setCloseReason records why the connection closes, unless that is known.
-func (c *clientConn) setCloseReason(reason closeReason) {
-	if c.closeReason == "" {
-		c.closeReason = reason
-	}
-}
-
-// recordClose counts and logs the end of the connection. err is what ended it; open requests get no answer.
-func (c *clientConn) recordClose(err error) {
-	c.setCloseReason(reasonOfError(err))
-	c.server.counters.connsClosed[c.closeReason]++
-	c.server.log.Info(closeMessage(c.closeReason), "connection", c.number, "reason", c.closeReason, "error", err,
-		"phase", c.server.lifecycle.phase, "age", c.conn.Age(), "complete_requests", c.completeRequests,
-		"requests", c.openRequestIDs(), "discarded_bytes", c.conn.DiscardedBytes())
-}
-
 // reasonOfError returns the reason for a close that this process did not begin.
 func reasonOfError(err error) closeReason {
 	switch {
@@ -74,3 +48,8 @@
 	}
 	return "client connection closed"
 }
+
+// causeIsLogged reports whether a line with the cause is logged when the close begins.
+func (r closeReason) causeIsLogged() bool {
+	return r == closedIdle || r == closedEvicted || r == closedStalled
+}
