--- a/internal/soak/habits.go
+++ b/internal/soak/habits.go
@@ -83,7 +83,7 @@
 	for range habitClientCount {
 		c := &habitClient{habit: drawHabit(rng, p.maxShutdown()), clients: newProxyClients(p, rng.Uint64())}
 		if c.connect() {
-			go c.run()
+			r.habitClients.Go(c.run)
 		}
 	}
 	time.Sleep(habitLeadTime)
@@ -123,7 +123,7 @@
 func (c *habitClient) run() {
 	lifetime := time.NewTimer(habitLifetime)
 	defer lifetime.Stop()
-	defer c.conn.conn.Close() //nolint:errcheck // the proxy may have closed it
+	defer c.end()
 	if c.trickles {
 		c.trickle()
 		return
@@ -154,6 +154,12 @@
 	}
 }
 
+// end closes the connection and waits until its end is recorded.
+func (c *habitClient) end() {
+	c.conn.conn.Close() //nolint:errcheck // the proxy may have closed it
+	<-c.conn.closed
+}
+
 // ask sends a read.
 func (c *habitClient) ask() {
 	req := c.clients.newRequest(classRead, requestTimeout)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -44,16 +44,17 @@
 
 // run is one run of a fleet with its servers, coordinator and clients.
 type run struct {
-	options     Options
-	seed        uint64
-	limits      Limits
-	history     *History
-	coordinator *coordinator
-	caches      []*server
-	parent      *server
-	origin      *server
-	fleet       []*process
-	relays      []*relay.Relay
+	options      Options
+	seed         uint64
+	limits       Limits
+	history      *History
+	coordinator  *coordinator
+	caches       []*server
+	parent       *server
+	origin       *server
+	fleet        []*process
+	habitClients sync.WaitGroup // those that startHabits has started
+	relays       []*relay.Relay
 	// coordinatorModeMu has one mutex for the proxies with even and one for those with odd numbers, by number modulo
 	// 2. It is held while the coordinator is in a faulty mode for these proxies.
 	coordinatorModeMu [2]sync.Mutex
@@ -152,6 +153,7 @@
 		})
 	}
 	proxies.Wait()
+	r.habitClients.Wait()
 }
 
 // surge raises the rate of the clients' requests by surgeFactor for surgeDuration, so that the load that a
