SIGTERM after a drain: time for the first request of a new connection

The drain's last moment is over then, so that each connection that was accepted later was closed in the turn of its accept; its first request, if it came later, was thrown away.

--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -80,6 +80,7 @@
 	disconnectFrom eventloop.Timestamp // when idle client connections begin to be closed
 	rejectFrom     eventloop.Timestamp // when new requests begin to be rejected
 	closeBy        eventloop.Timestamp // when the open requests are answered and all client connections closed
+	newConnCloseBy eventloop.Timestamp // while Stopping: the same for connections that are accepted when closeBy is near
 }
 
 // setPhase changes the phase. openRequests is only logged.
@@ -109,6 +110,7 @@
 		disconnectFrom = now
 	}
 	rejectFrom := closeBy - shutdownRejectTime
+	l.newConnCloseBy = closeBy
 	if wasDraining {
 		disconnectFrom = min(disconnectFrom, l.disconnectFrom)
 		rejectFrom = min(rejectFrom, l.rejectFrom)
@@ -135,14 +137,14 @@
 func (l *lifecycle) rejecting() bool { return l.disconnecting() && l.loop.Now() >= l.rejectFrom }
 
 // closeTime returns the time by which a client connection that was accepted at a time must be closed, whatever its
-// client does; false: clients are not to be disconnected. A connection that is accepted when that time is near has
-// newConnTime for its first request, except before an exit.
+// client does; false: clients are not to be disconnected. A connection that is accepted when that time is near or over
+// has newConnTime for its first request, as far as an exit leaves it.
 func (l *lifecycle) closeTime(acceptedAt eventloop.Timestamp) (closeTime eventloop.Timestamp, limited bool) {
 	switch l.phase {
 	case Draining:
 		return max(l.closeBy, acceptedAt+newConnTime), true
 	case Stopping:
-		return l.closeBy, true
+		return max(l.closeBy, min(l.newConnCloseBy, acceptedAt+newConnTime)), true
 	}
 	return 0, false
 }
