Log: two held connections a report, and a line for each one that is held to the end

Lines with the same message are limited to 20 in 10 s: the first second of a drain of many connections used them up, and the connection that was held to the end, the one that the operators look for, was suppressed. The two that have been held for longest are logged each half second; the last moment has a message of its own.

--- a/internal/proxy/connhold.go
+++ b/internal/proxy/connhold.go
@@ -4,6 +4,7 @@
 // metrics.
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,7 +29,11 @@
 	}
 }
 
-// reportHeldConns logs each connection that is held, once per holdReportInterval.
+// maxReportedHolds is the number of connections in a report. The number of log lines with the same message is limited, and
+// those that are held to the end are to be among them.
+const maxReportedHolds = 2
+
+// reportHeldConns logs, once per holdReportInterval, the connections that have been held for longest for one reason.
 func (f *FastCGIServer) reportHeldConns() {
 	now := f.loop.Now()
 	if f.nextHoldReport == 0 {
@@ -38,17 +43,22 @@
 		return
 	}
 	f.nextHoldReport = now + holdReportInterval
+	var held []*clientConn
 	for c := range f.conns {
 		if c.hold.reason != "" {
-			c.logHold()
+			held = append(held, c)
 		}
 	}
+	slices.SortFunc(held, func(a, b *clientConn) int { return cmp.Compare(a.hold.since, b.hold.since) })
+	for _, c := range held[:min(len(held), maxReportedHolds)] {
+		c.logHold("client connection held")
+	}
 }
 
 // logHold logs why the connection is held, since when, and what is open on it.
-func (c *clientConn) logHold() {
+func (c *clientConn) logHold(message string) {
 	now := c.server.loop.Now()
-	c.server.log.Info("client connection held", "connection", c.number, "phase", c.server.lifecycle.phase,
+	c.server.log.Info(message, "connection", c.number, "phase", c.server.lifecycle.phase,
 		"reason", c.hold.reason, "held", now-c.hold.since, "age", c.conn.Age(), "idle", c.idleTime(),
 		"requests", c.openRequestIDs(), "blocked", len(c.blocked), "queued_bytes", c.conn.QueuedBytes(),
 		"unacknowledged_bytes", c.conn.UnackedBytes(), "delivery", c.conn.DeliveryTime(), "closing", c.conn.Ended())
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -58,7 +58,7 @@
 	}
 	if held := policy.MayClose(c.drainInfo()); !held.Allowed() {
 		c.hold.update(held.Reason, c.server.loop.Now())
-		c.logHold()
+		c.logHold("client connection held to the time limit")
 	}
 	c.rejectAllBlocked()
 	for _, number := range c.openRequests {
