--- a/internal/soak/habits.go
+++ b/internal/soak/habits.go
@@ -142,6 +142,7 @@
 		case <-c.conn.closed:
 			return
 		case <-lifetime.C:
+			c.leave()
 			return
 		case <-ticks:
 			c.ask()
@@ -154,6 +155,17 @@
 	}
 }
 
+// leave records that the client gives up its open requests, as it is about to close its connection.
+func (c *habitClient) leave() {
+	c.conn.mu.Lock()
+	defer c.conn.mu.Unlock()
+	c.conn.history.withLock(func() {
+		for _, req := range c.conn.openRequests {
+			req.CancelledAt = c.conn.history.Now()
+		}
+	})
+}
+
 // end closes the connection and waits until its end is recorded.
 func (c *habitClient) end() {
 	c.conn.conn.Close() //nolint:errcheck // the proxy may have closed it
