Drain: a client that reads slowly has a second after the last sign of its reading

Their long waits were forgotten after 2 s, and then the rejections of the drain, which are acknowledged at once, counted alone. A wait counts for 5 s now, longer than a drain or a shutdown waits, and a client that reads slowly has the full second after its last answer was acknowledged, whatever its last wait.

--- a/internal/eventloop/delivery.go
+++ b/internal/eventloop/delivery.go
@@ -21,8 +21,8 @@
 }
 
 // waitMemory is the time for which the wait of an output counts after it was timed. Short outputs behind it are
-// acknowledged at once, although the peer may still read it, and what its system received after it.
-const waitMemory = 2 * time.Second
+// acknowledged at once, although the peer may still read it, and reads as slowly as before.
+const waitMemory = 5 * time.Second
 
 // timedOutput is an output whose wait for its acknowledgment is measured.
 type timedOutput struct {
--- a/internal/proxy/clientidle.go
+++ b/internal/proxy/clientidle.go
@@ -35,8 +35,7 @@
 // them.
 func (c *clientConn) isReading() bool {
 	undeliveredBytes, deliveredAt := c.conn.UndeliveredOutput()
-	readingTime := min(c.conn.DeliveryTime(), maxReadingTime)
-	return undeliveredBytes == 0 && c.readsSlowly() && c.server.loop.Now()-deliveredAt < readingTime
+	return undeliveredBytes == 0 && c.readsSlowly() && c.server.loop.Now()-deliveredAt < maxReadingTime
 }
 
 // hasUnreadAnswers reports whether the client has received all its answers and, by the window of its system, has yet to
