--- a/internal/soak/habits.go
+++ b/internal/soak/habits.go
@@ -27,12 +27,17 @@
 	slowReadRate = 200_000
 	// slowReadBuffer is the setting of a slow reader's receive buffer, so that its answers wait in the proxy.
 	slowReadBuffer = 64 << 10
+	// minReadPause is the shortest pause of a slow reader.
+	minReadPause = 5 * time.Millisecond
 	// slowReadBytes is the most that a slow reader reads at a time.
 	slowReadBytes = 4 << 10
 	// minSlowReaderShutdown is the least time until the kill that lets a slow reader receive what it is owed.
 	minSlowReaderShutdown = 2500 * time.Millisecond
 	slowReaderRequests    = 16 // open at a time
-	trickleInterval       = 30 * time.Millisecond
+	// pipelinePause keeps a client whose requests are rejected at once from using up its FastCGI request IDs while an older
+	// request is open.
+	pipelinePause   = 2 * time.Millisecond
+	trickleInterval = 30 * time.Millisecond
 	// endPollInterval is the time between two checks whether the end of a slow reader's connection has arrived.
 	endPollInterval = 2 * time.Millisecond
 )
@@ -60,7 +65,7 @@
 	case draw < 0.6:
 		return habit{name: fmt.Sprintf("a request %v after each answer", interval), afterAnswer: interval, outstanding: 1}
 	case draw < 0.75:
-		return habit{name: "pipelining", outstanding: 2 + rng.IntN(burstRequests)}
+		return habit{name: "pipelining", afterAnswer: pipelinePause, outstanding: 2 + rng.IntN(burstRequests)}
 	case draw < 0.85 && untilKill > minSlowReaderShutdown:
 		return habit{name: "slow reader", outstanding: slowReaderRequests, slowReader: true}
 	case draw < 0.95:
@@ -101,14 +106,14 @@
 		return false
 	}
 	c.conn.history.withLock(func() { c.conn.record.Habit = c.name })
-	if slow, isSlow := c.conn.conn.(slowConn); isSlow {
+	if slow, isSlow := c.conn.conn.(*slowConn); isSlow {
 		go c.watchForEnd(slow)
 	}
 	return true
 }
 
 // watchForEnd records when the proxy's end of the connection arrives. The client reads it only behind its answers.
-func (c *habitClient) watchForEnd(conn slowConn) {
+func (c *habitClient) watchForEnd(conn *slowConn) {
 	for !conn.peerHasClosed() {
 		select {
 		case <-c.conn.closed:
@@ -199,22 +204,30 @@
 	<-c.conn.closed
 }
 
-// slowConn is a connection that is read at slowReadRate.
-type slowConn struct{ net.Conn }
+// slowConn is a connection that is read at slowReadRate by one goroutine.
+type slowConn struct {
+	net.Conn
+	pause time.Duration // that is due for what was read
+}
 
-func newSlowConn(conn net.Conn) slowConn {
+func newSlowConn(conn net.Conn) *slowConn {
 	conn.(*net.TCPConn).SetReadBuffer(slowReadBuffer) //nolint:errcheck // with the default size the client is less slow
-	return slowConn{conn}
+	return &slowConn{Conn: conn}
 }
 
-func (c slowConn) Read(data []byte) (int, error) {
+// Read reads, and pauses for as long as slowReadRate requires. Short pauses are added up, as each would take longer.
+func (c *slowConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data[:min(len(data), slowReadBytes)])
-	time.Sleep(time.Duration(n) * time.Second / slowReadRate)
+	c.pause += time.Duration(n) * time.Second / slowReadRate
+	if c.pause >= minReadPause {
+		time.Sleep(c.pause)
+		c.pause = 0
+	}
 	return n, err
 }
 
 // peerHasClosed reports whether the peer's end of the connection has arrived, read or not; false if that is unknown.
-func (c slowConn) peerHasClosed() bool {
+func (c *slowConn) peerHasClosed() bool {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
