Drain: answer a slow reader's open requests while it has time to read the answers

TestOpenRequestOfASlowReaderIsAnsweredInTimeToRead fails before: one request open a second before the time limit.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -41,6 +41,9 @@
 	case limited && now >= closeTime:
 		c.closeAtTimeLimit()
 	default:
+		if c.needsTimeToRead() {
+			c.answerOpenRequests()
+		}
 		verdict := policy.MayClose(c.drainInfo())
 		c.hold.update(verdict.Reason, now)
 		if verdict.Allowed() {
@@ -60,13 +63,18 @@
 		c.hold.update(held.Reason, c.server.loop.Now())
 		c.logHold("client connection held to the time limit")
 	}
+	c.answerOpenRequests()
+	c.decoder.DropPartial()
+	c.updatePartialBytes()
+	c.closeGracefully(closedAtTimeLimit)
+}
+
+// answerOpenRequests cancels the open requests and rejects the blocked ones.
+func (c *clientConn) answerOpenRequests() {
 	c.rejectAllBlocked()
 	for _, number := range c.openRequests {
 		c.server.handler.cancelBeforeClose(number)
 	}
-	c.decoder.DropPartial()
-	c.updatePartialBytes()
-	c.closeGracefully(closedAtTimeLimit)
 }
 
 // rejectAllBlocked rejects the requests that are blocked by backpressure.
@@ -100,11 +108,19 @@
 	if !c.server.lifecycle.disconnecting() {
 		return false
 	}
-	closeTime, _ := c.server.lifecycle.closeTime(c.conn.CreatedAt())
-	timeLeft := max(0, closeTime-c.server.loop.Now())
 	undeliveredBytes, _ := c.conn.UndeliveredOutput()
-	if float64(undeliveredBytes) > timeLeft.Seconds()*slowReadRate {
-		return true
-	}
-	return c.readsSlowly() && timeLeft < 2*c.conn.DeliveryTime() // once to be received by its system, once to be read
+	return float64(undeliveredBytes) > c.timeLeft().Seconds()*slowReadRate || c.needsTimeToRead()
+}
+
+// needsTimeToRead reports whether a client that reads slowly needs the time until its connection has to be closed for the
+// answers that it has been sent: once for its system to receive them, once to read them. It would go on sending, and not
+// see the end of the connection, until it has read them.
+func (c *clientConn) needsTimeToRead() bool {
+	return c.readsSlowly() && c.timeLeft() < 2*c.conn.DeliveryTime()
+}
+
+// timeLeft returns the time until the connection has to be closed. Clients must be about to be disconnected.
+func (c *clientConn) timeLeft() time.Duration {
+	closeTime, _ := c.server.lifecycle.closeTime(c.conn.CreatedAt())
+	return max(0, closeTime-c.server.loop.Now())
 }
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -50,3 +50,26 @@
 		t.Errorf("read % x, error %v, want a record of type STDOUT", answer[:n], err)
 	}
 }
+
+// Guards against answers that come when a slow reader has no time left to read them: it would go on sending without seeing
+// the end of its connection. Its open request is answered early enough, and the connection stays open for reading.
+func TestOpenRequestOfASlowReaderIsAnsweredInTimeToRead(t *testing.T) {
+	const size = 2 << 20
+	f := newProxyFixture(t)
+	c := f.soleConn(t)
+	f.answerAtOnce(t, c, size)
+	for c.conn.DeliveryTime() < time.Second {
+		f.read(t, int(slowReaderRate*connCheckInterval.Seconds())/8)
+		f.turn(t, connCheckInterval)
+	}
+	if _, err := f.client.Write(requestWithTimeout("60000")); err != nil {
+		t.Fatal(err)
+	}
+	f.turnUntil(t, func() bool { return len(c.openRequests) == 1 })
+	f.p.startDrain()
+	f.turnOfProxy(t, drainAcceptTime)
+	f.turnOfProxy(t, drainCloseAfter-drainAcceptTime-time.Second)
+	if len(c.openRequests) > 0 || c.conn.Ended() {
+		t.Errorf("a second before the time limit: %d requests are open, the connection is closing: %v", len(c.openRequests), c.conn.Ended())
+	}
+}
