--- a/policy/guard.go
+++ b/policy/guard.go
@@ -87,9 +87,9 @@
 	return Verdict{}
 }
 
-// CloseInfo describes a client's connection that might be closed. HasUnreadInput is required. The functions make
-// system calls. Any other field that is left zero is not checked: PartialRequest is left zero for a close after a
-// timeout, as a client may then lose a request that it has sent in part.
+// CloseInfo describes a client's connection that might be closed. HasUnreadInput is required. The
+// functions make system calls. Any other field that is left zero is not checked: PartialRequest is
+// left zero for a close after a timeout, as a client may then lose a request that it has sent in part.
 type CloseInfo struct {
 	OpenRequests   int  // requests that arrived completely and are not answered
 	PartialRequest bool // a request has arrived in part
@@ -100,12 +100,12 @@
 	// system call.
 	HasUnreadInput func() bool
 
-	// ClientReading reports whether the client may have yet to read answers that its system has received. Nil: not
-	// checked.
+	// ClientReading reports whether the client may have yet to read answers that its system has
+	// received. Nil: not checked.
 	ClientReading func() bool
 
-	// UnsentBytes returns the number of bytes that this host has not sent yet: the end of the connection would
-	// follow behind them. Nil: not checked.
+	// UnsentBytes returns the number of bytes that this host has not sent yet: the end of the
+	// connection would follow behind them. Nil: not checked.
 	UnsentBytes func() int
 
 	// UnackedBytes returns the number of bytes that were written and not acknowledged. Nil: not checked.
--- a/policy/verdict.go
+++ b/policy/verdict.go
@@ -48,7 +48,7 @@
 	ReasonUnreadInput        Reason = "input_unread"     // input has arrived that was not read
 	ReasonUnsentOutput       Reason = "output_not_taken" // an answer has not been sent or acknowledged
 	ReasonInUse              Reason = "in_use"           // a request may be on its way
-	ReasonReading            Reason = "client_reading"   // the client may still read what its system has received
+	ReasonReading            Reason = "client_reading"   // the client may have yet to read answers
 	ReasonClosing            Reason = "closing"          // the connection is closing and waits for its client
 )
 
