Review: the stand-ins end their processes when they are ended themselves

Need: a run of a case that is ended by a signal left its proxy behind. Change: review/rig2 ends all that it has started at SIGTERM and SIGINT, and the proxy gets SIGKILL when it dies.

--- a/review/rig2/coordinator.go
+++ b/review/rig2/coordinator.go
@@ -86,7 +86,8 @@
 	c.r.logf("coordinator: down")
 	time.Sleep(length)
 	err := c.start()
-	c.r.logf("coordinator: back, with %d events (error: %v)", len(c.lines), err)
+	index, _ := c.known()
+	c.r.logf("coordinator: back, with %d events (error: %v)", index, err)
 }
 
 // add adds events.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
+	"syscall"
 	"time"
 )
 
@@ -42,12 +44,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	time.AfterFunc(maxRunTime, func() {
-		r.logf("the case could not run: it took over %v", maxRunTime)
-		r.stopAll()
-		r.closeRecord() //nolint:errcheck // it did not run
-		os.Exit(2)
-	})
+	time.AfterFunc(maxRunTime, func() { r.giveUp(fmt.Sprintf("it took over %v", maxRunTime)) })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		r.giveUp(fmt.Sprintf("%v", <-signals))
+	}()
 	v, err := cases[name](r)
 	r.stopAll()
 	status := 0
@@ -67,3 +69,11 @@
 	}
 	return status
 }
+
+// giveUp ends a run that can't be completed, with all that it has started.
+func (r *rig) giveUp(reason string) {
+	r.logf("the case could not run: %s", reason)
+	r.stopAll()
+	r.closeRecord() //nolint:errcheck // it did not run
+	os.Exit(2)
+}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -152,6 +152,7 @@
 	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+p.configPath, "TMPDIR="+r.dir)
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this process
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
