Review: the records of the cases say what the servers ran

Need: a record has what was sent, answered and run; the last was missing. Change: review/rig2 writes a line for each call that has arrived whole at a server.

--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -115,6 +115,7 @@
 		s.mu.Lock()
 		s.calls = append(s.calls, c)
 		s.mu.Unlock()
+		s.r.logf("server %s: runs %s (%s, object %s)", s.id, c.id, c.fields["c"], c.fields["k"])
 		go s.handle(c)
 	}
 }
