Event loop: turns with a time budget, shared by groups of connections

A handler that has more input yields. The end of a connection is still noticed at once. Input that waits for a later turn counts as waiting, for deadlines and for the clock.

--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -32,11 +32,15 @@
 	ln.backlogRemains = ln.HasPending()
 }
 
-// acceptWhilePossible accepts connections until the queue is empty. It pauses the listener if there is no
-// capacity, accept fails or too many connections are aborted.
+// acceptWhilePossible accepts connections until the queue is empty or acceptTime has passed. It pauses the listener if
+// there is no capacity, accept fails or too many connections are aborted.
 func (ln *Listener) acceptWhilePossible() {
 	aborted := 0
-	for ln.HasPending() {
+	end := ln.loop.clock.Now() + acceptTime
+	for accepted := 0; ln.HasPending(); accepted++ {
+		if accepted > 0 && ln.loop.clock.Now() >= end {
+			return
+		}
 		if aborted == maxAbortedAccepts || !ln.ensureCapacity() {
 			ln.pause()
 			return
@@ -95,6 +99,7 @@
 		fd:             fd,
 		connected:      true,
 		interest:       unix.EPOLLIN | unix.EPOLLRDHUP,
+		group:          Clients,
 		createdAt:      l.now,
 		lastReceivedAt: l.now,
 		delays: inputDelays{
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -29,6 +29,13 @@
 	flushScheduled bool   // the connection is in Loop.toFlush
 	interest       uint32 // epoll events that are watched
 
+	group       Group
+	queued      bool      // in Loop.ready
+	readyEvents uint32    // epoll events that are to be handled when it is served
+	yielded     bool      // the handler has left input for a later turn, see Yield
+	inputLeft   bool      // the last reads ended before all input had been read
+	sliceEnd    Timestamp // see SliceOver
+
 	unparsed       []byte   // received input that the handler has not consumed
 	discardedBytes int      // see DiscardedBytes
 	outputQueue    []output // output that has not been written completely
@@ -72,22 +79,36 @@
 // open reports whether the connection can transfer data.
 func (c *Conn) open() bool { return c.connected && !c.closed }
 
-// handleEvents handles epoll events. Each step may close the connection.
+// handleEvents notices the end of the connection at once, whatever input of it waits, and leaves the rest of the events to
+// the time when the connection is served.
 func (c *Conn) handleEvents(events uint32) {
+	c.noticeEnd(events)
+	if !c.closed {
+		c.loop.enqueue(c, events)
+	}
+}
+
+// noticeEnd handles what epoll events say of the end of an established connection.
+func (c *Conn) noticeEnd(events uint32) {
+	switch {
+	case !c.open():
+	case c.isReset(events):
+		c.Fail(unix.ECONNRESET)
+	case events&unix.EPOLLRDHUP != 0:
+		c.notifyPeerClosing()
+	}
+}
+
+// processEvents handles epoll events. Each step may close the connection.
+func (c *Conn) processEvents(events uint32) {
 	if !c.connected {
 		c.finishConnect()
 	}
+	c.noticeEnd(events)
 	if !c.open() {
 		return
 	}
-	if c.isReset(events) {
-		c.Fail(unix.ECONNRESET)
-		return
-	}
-	if events&unix.EPOLLRDHUP != 0 {
-		c.notifyPeerClosing()
-	}
-	if c.open() && c.wantsInput() && events&(unix.EPOLLIN|unix.EPOLLRDHUP|errorEvents) != 0 {
+	if c.yielded || c.wantsInput() && events&(unix.EPOLLIN|unix.EPOLLRDHUP|errorEvents) != 0 {
 		c.receive()
 	}
 	if c.open() && events&unix.EPOLLOUT != 0 {
--- a/internal/eventloop/delay.go
+++ b/internal/eventloop/delay.go
@@ -24,6 +24,9 @@
 	waitedForAccept   bool          // the first input may have waited in the accept queue
 	delayBeforeAccept time.Duration // scheduling delay of the turn that accepted the connection
 	inputWaitingSince Timestamp     // when the next input may have arrived, behind much other input; 0: it has not waited
+	readyAt           Timestamp     // when the connection became ready to be served
+	readySince        Timestamp     // the earliest time at which it may have been ready
+	arrivedAfter      Timestamp     // see InputArrivedAfter
 	queueingDelay     time.Duration // see QueueingDelay
 }
 
@@ -40,8 +43,32 @@
 // behind earlier input of the same connection. It does not include the time between two turns.
 func (c *Conn) QueueingDelay() time.Duration { return c.delays.queueingDelay }
 
-// measureQueueingDelay sets the queueing delay of the input that is read next.
+// InputArrivedAfter returns a time before which none of the input that is passed to Receive had arrived.
+func (c *Conn) InputArrivedAfter() Timestamp { return c.delays.arrivedAfter }
+
+// recordReady records that the connection is ready to be served, in this turn or a later one.
+func (d *inputDelays) recordReady(l *Loop) {
+	d.readyAt = l.now
+	d.readySince = l.now - l.SchedulingDelay(l.pollTimeout)
+}
+
+// measureQueueingDelay sets the queueing delay of the input that is read next, and the time after which it arrived.
 func (c *Conn) measureQueueingDelay() {
+	if !c.inputLeft {
+		c.delays.arrivedAfter = c.loop.previousPollEnd
+		if c.delays.readyAt != 0 {
+			c.delays.arrivedAfter = min(c.delays.arrivedAfter, c.delays.readySince)
+		}
+	}
+	c.measureInputWait()
+	if c.delays.readyAt != 0 && c.delays.readyAt < c.loop.now { // it became ready in an earlier turn
+		c.delays.queueingDelay = max(c.delays.queueingDelay, c.loop.now-c.delays.readySince)
+	}
+	c.delays.readyAt = 0
+}
+
+// measureInputWait sets the queueing delay from the wait in the accept queue or behind earlier input.
+func (c *Conn) measureInputWait() {
 	switch {
 	case c.delays.waitedForAccept:
 		c.delays.waitedForAccept = false
@@ -65,10 +92,11 @@
 }
 
 // recordInputWaiting records after a turn's reads whether the next input may have been sent together with the
-// bytes that were read: after much input, the rest may have waited in a socket buffer of either host.
+// bytes that were read: after much input, or if some was left, the rest may have waited in a socket buffer of
+// either host.
 func (c *Conn) recordInputWaiting(bytesRead int) {
 	c.delays.inputWaitingSince = 0
-	if bytesRead >= largeInputBytes {
+	if bytesRead >= largeInputBytes || c.inputLeft {
 		waited := max(c.delays.queueingDelay, c.loop.SchedulingDelay(c.loop.pollTimeout))
 		c.delays.inputWaitingSince = c.loop.now - waited
 	}
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -22,6 +22,7 @@
 		fd:             fd,
 		handler:        h,
 		interest:       unix.EPOLLOUT,
+		group:          Servers,
 		createdAt:      l.now,
 		lastReceivedAt: l.now,
 	}
--- a/internal/eventloop/input.go
+++ b/internal/eventloop/input.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// maxReadsPerTurn bounds the reads of one connection in one turn, so that they do not delay other connections.
+// maxReadsPerTurn bounds the reads of one connection in one turn.
 const maxReadsPerTurn = 16
 
 // PollNow polls this connection again and handles what has happened on it since the turn's poll.
@@ -25,29 +25,49 @@
 	if c.loop.pollComplete { // the turn's poll would have reported an earlier half-close
 		c.loop.previousPollEnd = c.loop.pollEnd
 	}
-	c.handleEvents(uint32(fds[0].Revents))
+	c.processEvents(uint32(fds[0].Revents))
 	c.loop.previousPollEnd = previousPollEnd
 }
 
-// receive reads the input that has arrived and passes it to the handler. It reads up to maxReadsPerTurn times, since
-// requests at the start of the input may be aborted by later input.
+// receive passes the input that was left unconsumed in an earlier turn to the handler, reads what has arrived and passes it
+// on. It reads up to maxReadsPerTurn times, since requests at the start of the input may be aborted by later input, and
+// ends when the slice of the connection is over.
 func (c *Conn) receive() {
+	c.sliceEnd = c.loop.clock.Now() + max(c.loop.slice, minSlice)
 	c.measureQueueingDelay()
+	if c.yielded {
+		c.yielded = false
+		c.deliver(c.unparsed)
+	}
 	bytesRead := 0
-	for range maxReadsPerTurn {
-		n, more := c.readOnce()
-		bytesRead += n
-		if !more {
+	more := !c.yielded && c.canRead()
+	for reads := 0; more; reads++ {
+		if reads == maxReadsPerTurn || reads > 0 && c.SliceOver() {
 			break
 		}
+		var n int
+		n, more = c.readOnce()
+		bytesRead += n
 	}
+	c.inputLeft = more || c.yielded
 	c.recordInputWaiting(bytesRead)
 }
 
+// canRead reports whether input is to be read from the connection's socket.
+func (c *Conn) canRead() bool { return c.open() && c.wantsInput() }
+
+// readBuffer returns the buffer for one read.
+func (c *Conn) readBuffer() []byte {
+	if c.group == Clients {
+		return c.loop.readBuffer[:clientReadBytes]
+	}
+	return c.loop.readBuffer
+}
+
 // readOnce reads once and passes the input to the handler. more reports whether there may be more input that is to be
 // read in this turn.
 func (c *Conn) readOnce() (n int, more bool) {
-	buffer := c.loop.readBuffer
+	buffer := c.readBuffer()
 	n, err := System.Read(c.fd, buffer)
 	if err != nil {
 		if !isTransient(err) {
@@ -64,7 +84,7 @@
 	} else {
 		c.addInput(buffer[:n])
 	}
-	if c.closed || c.readingStopped && !c.closing {
+	if c.yielded || !c.canRead() {
 		return n, false
 	}
 	return n, n == len(buffer)
@@ -152,6 +172,7 @@
 		return
 	}
 	c.readingStopped = true
+	c.yielded = false
 	c.loop.bufferedBytes -= len(c.unparsed)
 	c.unparsed = nil
 	c.scheduleFlush() // also updates the interest
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -43,6 +43,9 @@
 	clock             TimeSource
 	now               Timestamp // see Now
 
+	ready [groupCount][]*Conn // connections with epoll events to handle, or input left from an earlier turn
+	slice time.Duration       // for the input of each connection of the group that is served
+
 	toFlush       []*Conn // connections whose flush is scheduled
 	bufferedBytes int     // in the input buffers and output queues of all connections
 	readBuffer    []byte  // shared by all reads
@@ -76,9 +79,6 @@
 // Now returns the time of this turn: the clock's time just before the turn's callbacks run.
 func (l *Loop) Now() Timestamp { return l.now }
 
-// EarliestArrival returns a time before which none of the input that is read in this turn had arrived.
-func (l *Loop) EarliestArrival() Timestamp { return l.previousPollEnd }
-
 // ReadClock reads the clock. It is for uses for which the time of the turn may be too old.
 func (l *Loop) ReadClock() Timestamp { return l.clock.Now() }
 
@@ -88,8 +88,9 @@
 func (l *Loop) updateTime() { l.now = l.clock.Now() }
 
 // Wait blocks until a descriptor is ready, the next timer is due or maxWait has passed, and runs the
-// callbacks of all descriptors that are ready and then of all timers that are due. It returns an error when
-// polls have failed too often in a row for the cause to be temporary.
+// callbacks of descriptors that are ready and then of timers that are due, as far as the time for each group of
+// connections and for the timers suffices. The rest is left for the next call, which does not block. Wait returns an
+// error when polls have failed too often in a row for the cause to be temporary.
 func (l *Loop) Wait(maxWait time.Duration) error {
 	if l.pollComplete {
 		l.previousPollEnd = l.pollEnd
@@ -100,12 +101,16 @@
 		return err
 	}
 	l.dispatch(events)
+	l.serveReady()
 	l.fireTimers()
 	return nil
 }
 
 // poll waits for readiness and returns the events, which are valid until the next poll.
 func (l *Loop) poll(maxWait time.Duration) ([]unix.EpollEvent, error) {
+	if l.hasReady() {
+		maxWait = 0
+	}
 	if len(l.timers) > 0 {
 		maxWait = min(maxWait, l.timers[0].due-l.now)
 	}
--- a/internal/eventloop/timers.go
+++ b/internal/eventloop/timers.go
@@ -26,10 +26,14 @@
 	}
 }
 
-// fireTimers calls all timers that are due, the earliest first.
+// fireTimers calls the timers that are due, the earliest first, until all have been called or timerTime has passed.
 func (l *Loop) fireTimers() {
+	end := l.clock.Now() + timerTime
 	for len(l.timers) > 0 && l.timers[0].due <= l.now {
 		heap.Pop(&l.timers).(*Timer).callback()
+		if l.clock.Now() >= end {
+			return
+		}
 	}
 }
 
--- a/internal/proxy/adminserver.go
+++ b/internal/proxy/adminserver.go
@@ -54,6 +54,7 @@
 
 // accept returns the handler of a new connection.
 func (a *AdminServer) accept(conn *eventloop.Conn) eventloop.Handler {
+	conn.SetGroup(eventloop.Operators)
 	c := &adminConn{server: a, conn: conn, acceptedAt: a.loop.Now()}
 	a.conns[c] = true
 	return c
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -131,6 +131,7 @@
 		w.scheduleReconnect(err)
 		return
 	}
+	conn.SetGroup(eventloop.Watch)
 	s.conn = conn
 	w.streams = append(w.streams, s)
 	conn.Write(watch.EncodeFollow(index))
--- a/internal/proxy/watchstream.go
+++ b/internal/proxy/watchstream.go
@@ -71,7 +71,7 @@
 	return s.conn.UnparsedBytes() > 0 && s.owner.loop.Now()-s.conn.LastReceived() < silenceTimeout
 }
 
-// Receive handles the complete lines in data.
+// Receive handles the complete lines in data, as far as the time of the stream in this turn suffices.
 func (s *watchStream) Receive(data []byte) (used int, err error) {
 	for {
 		n, line, err := watch.NextLine(data[used:])
@@ -91,6 +91,10 @@
 		if s.conn.Ended() { // handling the line closed this stream
 			return used, nil
 		}
+		if moreFollows && s.conn.SliceOver() {
+			s.conn.Yield()
+			return used, nil
+		}
 	}
 }
 
@@ -194,7 +198,7 @@
 	}
 	writtenAfter := s.conn.CreatedAt()
 	if minHeartbeatInterval <= sinceLast && sinceLast <= maxHeartbeatInterval {
-		writtenAfter = w.loop.EarliestArrival()
+		writtenAfter = s.conn.InputArrivedAfter()
 	}
 	w.upToDateAt = max(w.upToDateAt, writtenAfter)
 }
