Drains: a connection with answers to read rejects on, and the exit precedes the kill

Cause: at closeTime a connection was closed whatever its client had yet to read, and its input discarded; the exit waited for acknowledgments for up to a minute.

Change: such a connection stays open, rejecting, until the client has read or lifecycle.readBy; everything that has arrived is read before a close; the process exits 0.1 s before the kill.

--- a/cmd/edgeproxy/clienthabits_test.go
+++ b/cmd/edgeproxy/clienthabits_test.go
@@ -31,6 +31,8 @@
 	mediumObjectBytes = 10_000
 	firstLargeObject  = 200_000
 	largeObjectBytes  = 200_000
+	firstHalfObject   = 300_000
+	halfObjectBytes   = 100_000
 	partInterval      = 40 * time.Millisecond
 	// crossingTime is the time before and after the arrival of the end of a connection within which a request is sent
 	// again, by the protocol, with 10 ms for this process.
@@ -214,8 +216,10 @@
 				call.answer("served", "-", "short")
 			case object < firstLargeObject:
 				call.answer("served", "-", large[:mediumObjectBytes])
-			default:
+			case object < firstHalfObject:
 				call.answer("served", "-", large)
+			default:
+				call.answer("served", "-", large[:halfObjectBytes])
 			}
 		}
 	}()
--- a/cmd/edgeproxy/drainhabits_test.go
+++ b/cmd/edgeproxy/drainhabits_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -124,3 +126,50 @@
 		})
 	}
 }
+
+// pausingReaders are clients that read slowly and ask again some time after each answer.
+func pausingReaders() (habits []habit) {
+	for _, readRate := range []int{900_000, 950_000, 1_000_000} {
+		for _, pause := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond} {
+			for _, outstanding := range []int{1, 2, 4, 8, 16, 32} {
+				habits = append(habits, habit{
+					name:     fmt.Sprintf("%d bytes/s, %d requests, each %v after an answer", readRate, outstanding, pause),
+					readRate: readRate, firstObject: firstHalfObject, outstanding: outstanding, afterAnswer: pause,
+				})
+			}
+		}
+	}
+	return habits
+}
+
+// canRead reports whether a client reads the answers that it asks for at a time within the deadline of its requests.
+func (h habit) canRead(answerBytes int, deadline time.Duration) bool {
+	readingTime := float64(h.outstanding*answerBytes) / float64(h.readRate)
+	return readingTime <= deadline.Seconds()
+}
+
+// TestExitBeforeTheKillWithPausingReaders guards against a process that slow readers keep from its exit until it is
+// killed: each of their answers takes them 0.1 s, and they ask again 0.2 or 0.6 s after it. None of them loses a request,
+// but for those that ask for more than they can read in time.
+func TestExitBeforeTheKillWithPausingReaders(t *testing.T) {
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.classDeadline = deadline
+			env.startWith(env.cache.Addr(), env.origin.Addr())
+			clients := env.startHabits(pausingReaders())
+			signalledAt := time.Now()
+			env.signal(syscall.SIGTERM)
+			select {
+			case err := <-env.exited:
+				t.Logf("exited after %v: %v", time.Since(signalledAt), err)
+			case <-time.After(deadline + killDelay):
+				t.Errorf("the process had to be killed")
+				env.signal(syscall.SIGKILL)
+			}
+			ableClients := slices.DeleteFunc(clients, func(c *habitClient) bool { return !c.canRead(halfObjectBytes, deadline) })
+			checkEnds(t, ableClients, signalledAt, time.Now().Add(time.Second))
+		})
+	}
+}
--- a/internal/eventloop/closing.go
+++ b/internal/eventloop/closing.go
@@ -89,12 +89,17 @@
 			c.linger()
 			return
 		}
-		c.closeAfterReading()
+		c.CloseAfterReading()
 	})
 }
 
-// closeAfterReading discards the input that has arrived and closes the connection.
-func (c *Conn) closeAfterReading() {
+// CloseAfterReading discards the input that has arrived and closes the connection at once. Unread input would have the
+// system drop the output in its buffers.
+func (c *Conn) CloseAfterReading() {
+	if c.closed {
+		return
+	}
+	c.closing = true
 	c.receive()
 	if !c.closed {
 		c.Fail(io.EOF)
--- a/internal/eventloop/input.go
+++ b/internal/eventloop/input.go
@@ -53,6 +53,9 @@
 	c.recordInputWaiting(bytesRead)
 }
 
+// InputLeft reports whether the last reads ended before all input that had arrived was read and handled.
+func (c *Conn) InputLeft() bool { return c.inputLeft }
+
 // canRead reports whether input is to be read from the connection's socket.
 func (c *Conn) canRead() bool { return c.open() && c.wantsInput() }
 
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -1,8 +1,9 @@
 package proxy
 
 // This file closes the connections of clients that are to be disconnected, because of a drain or a shutdown. Until the
-// time of lifecycle.closeTime a connection is closed when nothing is lost by that; then it is closed in any case, so
-// that no client can put off the end of a drain or of the process.
+// time of lifecycle.closeTime a connection is closed when nothing is lost by that; then it is closed unless its client
+// has yet to read answers, and at lifecycle.readBy in any case, so that no client can put off the end of a drain or of the
+// process.
 
 import (
 	"math"
@@ -18,6 +19,8 @@
 	// slowReadRate is the number of bytes a second by which the time of a client that reads slowly is estimated: half of
 	// what such clients read, as the bytes that their systems hold can't be seen.
 	slowReadRate = 500_000
+	// maxReadsBeforeClose is the number of times that a connection is polled for input before it is closed.
+	maxReadsBeforeClose = 4
 )
 
 // closeDrainedConns closes connections while clients are to be disconnected. It is called at the end of a turn, when all
@@ -39,7 +42,7 @@
 	case c.conn.Ended():
 		c.hold.update(policy.ReasonClosing, now)
 	case limited && now >= closeTime:
-		c.closeAtTimeLimit()
+		c.closeAtTimeLimit(now >= c.server.lifecycle.readBy)
 	default:
 		if c.needsTimeToRead() {
 			c.answerOpenRequests()
@@ -53,22 +56,47 @@
 }
 
 // closeAtTimeLimit reads what has arrived, answers all that is open and closes the connection. What arrives later crosses
-// the close, and a request that has arrived in part is not answered.
-func (c *clientConn) closeAtTimeLimit() {
-	c.conn.PollNow()
+// the close, and a request that has arrived in part is not answered. A client that has yet to read answers would not see
+// the end of the connection and go on sending: until the time for reading is over, its connection stays open and its
+// further requests are rejected.
+func (c *clientConn) closeAtTimeLimit(readingTimeOver bool) {
+	c.readRemainingInput()
 	if c.conn.Ended() {
 		return
 	}
-	if held := policy.MayClose(c.drainInfo()); !held.Allowed() {
+	held := policy.MayClose(c.drainInfo())
+	c.answerOpenRequests()
+	if !readingTimeOver && c.hasAnswersToRead() {
+		c.hold.update(policy.ReasonReading, c.server.loop.Now())
+		return
+	}
+	if !held.Allowed() {
 		c.hold.update(held.Reason, c.server.loop.Now())
 		c.logHold("client connection held to the time limit")
 	}
-	c.answerOpenRequests()
 	c.decoder.DropPartial()
 	c.updatePartialBytes()
 	c.closeGracefully(closedAtTimeLimit)
 }
 
+// readRemainingInput reads and handles what has arrived. Of a client that has sent more than a few reads return, the rest
+// crosses the close.
+func (c *clientConn) readRemainingInput() {
+	for range maxReadsBeforeClose {
+		c.conn.PollNow()
+		if c.conn.Ended() || !c.conn.InputLeft() {
+			return
+		}
+	}
+}
+
+// hasAnswersToRead reports whether the client has answers on their way, more than it reads while a request may cross the
+// close, or has yet to read some that it has received.
+func (c *clientConn) hasAnswersToRead() bool {
+	undeliveredBytes, _ := c.conn.UndeliveredOutput()
+	return float64(undeliveredBytes) > slowReadRate*crossingTime.Seconds() || c.mayHaveUnreadAnswers()
+}
+
 // answerOpenRequests cancels the open requests and rejects the blocked ones.
 func (c *clientConn) answerOpenRequests() {
 	c.rejectAllBlocked()
--- a/internal/proxy/lifecycle.go
+++ b/internal/proxy/lifecycle.go
@@ -38,9 +38,17 @@
 	// drainRejectAfter is the time from the start of a drain after which new requests are rejected. Connections
 	// that would otherwise never be idle then become idle and can be closed.
 	drainRejectAfter = 1900 * time.Millisecond
-	// drainCloseAfter is the time from the start of a drain after which no request is read any more. 4 s after the start no
-	// connection may be held idle, or with a request from the last 2 s.
+	// drainCloseAfter is the time from the start of a drain after which connections are closed, but for those of clients
+	// that have yet to read answers.
 	drainCloseAfter = 3 * time.Second
+	// drainReadingTime is the time after drainCloseAfter that those clients have. 4 s after the start of a drain no
+	// connection may be held idle, or with a request from the last 2 s.
+	drainReadingTime = 900 * time.Millisecond
+	// shutdownReadingMargin is the time before the kill until which clients may read their answers.
+	shutdownReadingMargin = 150 * time.Millisecond
+	// shutdownExitMargin is the time before the kill at which the process exits, whatever its clients have yet to read. It
+	// exceeds maxPollTime, by which the exit may be late.
+	shutdownExitMargin = 2 * maxPollTime
 )
 
 // newConnTime is the time that a client that has just connected has for its first request while clients are to be
@@ -81,6 +89,8 @@
 	rejectFrom     eventloop.Timestamp // when new requests begin to be rejected
 	closeBy        eventloop.Timestamp // when the open requests are answered and all client connections closed
 	newConnCloseBy eventloop.Timestamp // while Stopping: the same for connections that are accepted when closeBy is near
+	readBy         eventloop.Timestamp // when the connections of clients that have yet to read answers are closed too
+	exitBy         eventloop.Timestamp // while Stopping: when the process exits in any case
 }
 
 // setPhase changes the phase. openRequests is only logged.
@@ -94,6 +104,7 @@
 	l.setPhase(Draining, openRequests)
 	now := l.loop.Now()
 	l.setTimes(now+drainAcceptTime, now+drainRejectAfter, now+drainCloseAfter)
+	l.setReadBy(l.closeBy + drainReadingTime)
 }
 
 // beginShutdown starts a graceful shutdown. longestDeadline is the longest deadline of the settings; 0: none. If
@@ -111,12 +122,16 @@
 	}
 	rejectFrom := closeBy - shutdownRejectTime
 	l.newConnCloseBy = closeBy
+	readBy := now + killDelay - shutdownReadingMargin
+	l.exitBy = now + killDelay - shutdownExitMargin
 	if wasDraining {
 		disconnectFrom = min(disconnectFrom, l.disconnectFrom)
 		rejectFrom = min(rejectFrom, l.rejectFrom)
 		closeBy = min(closeBy, l.closeBy)
+		readBy = min(readBy, l.readBy)
 	}
 	l.setTimes(disconnectFrom, rejectFrom, closeBy)
+	l.setReadBy(readBy)
 }
 
 // setTimes sets the times of the next steps, and has the event loop wake up for the last one.
@@ -127,6 +142,15 @@
 	l.loop.At(closeBy, func() {})
 }
 
+// setReadBy sets readBy, not before closeBy, and has the event loop wake up for it.
+func (l *lifecycle) setReadBy(readBy eventloop.Timestamp) {
+	l.readBy = max(readBy, l.closeBy)
+	l.loop.At(l.readBy, func() {})
+}
+
+// mustExit reports whether the process has to exit, whatever its clients have yet to read.
+func (l *lifecycle) mustExit() bool { return l.phase == Stopping && l.loop.Now() >= l.exitBy }
+
 // disconnecting reports whether idle client connections must be closed now.
 func (l *lifecycle) disconnecting() bool {
 	return (l.phase == Draining || l.phase == Stopping) && l.loop.Now() >= l.disconnectFrom
@@ -136,8 +160,8 @@
 // request would never be disconnected.
 func (l *lifecycle) rejecting() bool { return l.disconnecting() && l.loop.Now() >= l.rejectFrom }
 
-// closeTime returns the time by which a client connection that was accepted at a time must be closed, whatever its
-// client does; false: clients are not to be disconnected. A connection that is accepted when that time is near or over
+// closeTime returns the time by which a client connection that was accepted at a time must be closed unless its client
+// has yet to read answers; false: clients are not to be disconnected. A connection that is accepted when that time is near or over
 // has newConnTime for its first request, as far as an exit leaves it.
 func (l *lifecycle) closeTime(acceptedAt eventloop.Timestamp) (closeTime eventloop.Timestamp, limited bool) {
 	switch l.phase {
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -8,7 +8,7 @@
 )
 
 // advancePhase starts a shutdown when stop delivers a signal, and ends it when idle clients are being disconnected
-// and no client connection or unanswered request is left.
+// and no client connection or unanswered request is left, or when the process must exit.
 func (p *Proxy) advancePhase(stop <-chan os.Signal) {
 	select {
 	case <-stop:
@@ -17,8 +17,28 @@
 		}
 	default:
 	}
-	if p.lifecycle.phase == Stopping && p.lifecycle.disconnecting() && !p.hasOpenWork() {
-		p.lifecycle.setPhase(Stopped, p.openRequests)
+	if p.lifecycle.phase != Stopping || !p.lifecycle.disconnecting() {
+		return
+	}
+	if p.lifecycle.mustExit() {
+		p.cutOffClients()
+	} else if p.hasOpenWork() {
+		return
+	}
+	p.lifecycle.setPhase(Stopped, p.openRequests)
+}
+
+// cutOffClients closes the connections of clients that have yet to read answers when the process must exit. What is in
+// the system's buffers is still sent to them.
+func (p *Proxy) cutOffClients() {
+	for _, f := range p.fastcgiServers {
+		for c := range f.conns {
+			if undeliveredBytes, _ := c.conn.UndeliveredOutput(); undeliveredBytes > 0 {
+				p.log.Warn("client connection cut off at the exit", "connection", c.number,
+					"undelivered_bytes", undeliveredBytes, "queued_bytes", c.conn.QueuedBytes(), "requests", c.openRequestIDs())
+			}
+			c.conn.CloseAfterReading()
+		}
 	}
 }
 
