Clients: requests that cost more than a slice wait for the client's next turn

Cause: a turn handled up to 2 MiB of each connection.

Change: a client's records are handled until its slice is over or the decision module has 128 events; the rest waits for a later turn.

--- a/cmd/edgeproxy/fleet_test.go
+++ b/cmd/edgeproxy/fleet_test.go
@@ -54,6 +54,7 @@
 	c := env.dial()
 	sentAt := map[uint16]time.Time{}
 	var id uint16
+	var slowest time.Duration
 	wait := time.NewTimer(length + timeout + lateAnswer)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -69,7 +70,9 @@
 			if a.id == 0 {
 				env.t.Fatalf("the connection ended with %d requests unanswered", len(sentAt))
 			}
-			if taken := time.Since(sentAt[a.id]); taken > timeout+lateAnswer {
+			taken := time.Since(sentAt[a.id])
+			slowest = max(slowest, taken)
+			if taken > timeout+lateAnswer {
 				env.t.Errorf("request %d was answered after %v", a.id, taken)
 			}
 			delete(sentAt, a.id)
@@ -80,6 +83,7 @@
 			env.t.Fatalf("%d requests were not answered in time", len(sentAt))
 		}
 	}
+	env.t.Logf("%d requests answered, the slowest after %v", id, slowest)
 	return served
 }
 
--- a/cmd/edgeproxy/helpers_test.go
+++ b/cmd/edgeproxy/helpers_test.go
@@ -34,6 +34,12 @@
 	}
 }
 
+// discardAll receives from a channel until it is closed.
+func discardAll[T any](ch <-chan T) {
+	for range ch { //nolint:revive // nothing is done with the values
+	}
+}
+
 // mustMarshal encodes a value as JSON.
 func mustMarshal(tb testing.TB, value any) []byte {
 	tb.Helper()
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -46,6 +46,8 @@
 	ready [groupCount][]*Conn // connections with epoll events to handle, or input left from an earlier turn
 	slice time.Duration       // for the input of each connection of the group that is served
 
+	groupYielded bool // YieldGroup was called for the group that is served
+
 	toFlush       []*Conn // connections whose flush is scheduled
 	bufferedBytes int     // in the input buffers and output queues of all connections
 	readBuffer    []byte  // shared by all reads
--- a/internal/eventloop/turn.go
+++ b/internal/eventloop/turn.go
@@ -45,6 +45,13 @@
 // is for use in Receive.
 func (c *Conn) Yield() { c.yielded = true }
 
+// YieldGroup yields, and leaves the rest of the connection's group for the next turn as well: what they bring costs more
+// than the time of the group shows.
+func (c *Conn) YieldGroup() {
+	c.Yield()
+	c.loop.groupYielded = true
+}
+
 // enqueue adds a connection to the ready ones of its group, with the epoll events to handle.
 func (l *Loop) enqueue(c *Conn, events uint32) {
 	c.readyEvents |= events
@@ -84,8 +91,9 @@
 	l.ready[group] = nil
 	l.slice = max(minSlice, groupTime/time.Duration(len(queue)))
 	end := l.clock.Now() + groupTime
+	l.groupYielded = false
 	served := 0
-	for served < len(queue) && (served == 0 || l.clock.Now() < end) {
+	for served < len(queue) && (served == 0 || !l.groupYielded && l.clock.Now() < end) {
 		queue[served].serve()
 		served++
 	}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -52,8 +52,9 @@
 	disconnectedSince eventloop.Timestamp // the client closed its sending side after this time; 0: that side is open
 }
 
-// Receive handles the complete records in data and returns how many bytes it consumed. A protocol error stops
-// reading but does not close the connection, so the returned error is always nil.
+// Receive handles the complete records in data, as far as the time of the connection in this turn suffices, and returns
+// how many bytes it consumed. A protocol error stops reading but does not close the connection, so the returned error is
+// always nil.
 func (c *clientConn) Receive(data []byte) (used int, err error) {
 	completeBefore := c.completeRequests
 	skippedBytes := min(c.skipBytes, len(data))
@@ -85,7 +86,8 @@
 	}
 }
 
-// decodeRecords decodes and handles records until data holds no further complete one, or the connection ends.
+// decodeRecords decodes and handles records until data holds no further complete one, the connection ends, or it has to
+// wait for its next turn.
 func (c *clientConn) decodeRecords(data []byte) (used int, err error) {
 	for !c.conn.Ended() {
 		n, event, err := c.decoder.Decode(data[used:])
@@ -94,10 +96,27 @@
 		}
 		used += n
 		c.handleEvent(event)
+		if used < len(data) && c.yieldIfNeeded() {
+			return used, nil
+		}
 	}
 	return len(data), nil
 }
 
+// yieldIfNeeded leaves further records for a later turn if the connection has had its part of this one, or if the decision
+// module has as many events as it should get in a turn; then other clients have to wait too.
+func (c *clientConn) yieldIfNeeded() (yielded bool) {
+	switch {
+	case c.server.handler.isBacklogged():
+		c.conn.YieldGroup()
+	case c.conn.SliceOver():
+		c.conn.Yield()
+	default:
+		return false
+	}
+	return true
+}
+
 // handleEvent handles the event of one record. Most records produce no event; event is then nil.
 func (c *clientConn) handleEvent(event fastcgi.Event) {
 	_, isReply := event.(fastcgi.Reply)
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -41,6 +41,8 @@
 type requestHandler interface {
 	// classIndex returns a class's index in the settings.
 	classIndex(name string) (index int, known bool)
+	// isBacklogged reports whether further requests should be submitted in a later turn of the event loop.
+	isBacklogged() bool
 	// submitRequest takes a complete request and returns its number, or 0 when the request was answered at once.
 	// Every request gets exactly one answer, unless handleDisconnect or handleConnectionClosed ends it first.
 	submitRequest(parsed Request, responder Responder) int64
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,9 @@
 	// idleSweepInterval is the interval at which idle connections to caches are closed. connpool.Pools.CloseIdle
 	// requires one second.
 	idleSweepInterval = time.Second
+	// maxEventsPerTurn is the number of events for the decision module from which on clients' further requests wait for
+	// the next turn of the event loop.
+	maxEventsPerTurn = 128
 )
 
 // Proxy is one edge proxy. It owns the open requests and their attempts, reports what happens to them to the
@@ -150,6 +153,9 @@
 	}
 }
 
+// isBacklogged implements requestHandler.
+func (p *Proxy) isBacklogged() bool { return len(p.pendingEvents) >= maxEventsPerTurn }
+
 // notify queues an event for the decision module.
 func (p *Proxy) notify(ev policy.Event) { p.pendingEvents = append(p.pendingEvents, ev) }
 
