Memory: what clients send is charged as it arrives, at what it costs

Cause: ended parameters were decoded into a map and left the count: for a head of 4,000 parameters 335,973 bytes of heap (measured), 0 counted. Buffers counted by length, partly written answers by their rest.

--- a/cmd/edgeproxy/clientlimits_test.go
+++ b/cmd/edgeproxy/clientlimits_test.go
@@ -273,3 +273,20 @@
 		t.Errorf(`got line %q, want "follow 1"`, got)
 	}
 }
+
+// TestErrorTextIsShort guards against answers to malformed requests that repeat all that the client has sent, many times
+// as long (review/8, related paths).
+func TestErrorTextIsShort(t *testing.T) {
+	env := startTestEnv(t)
+	c := env.dial()
+	const scriptBytes, textLimit = 15_000, 300
+	pairs := []byte{byte(len("SCRIPT_NAME")), 0x80, 0, scriptBytes >> 8, scriptBytes & 0xff}
+	pairs = append(append(pairs, "SCRIPT_NAME"...), strings.Repeat("\x00", scriptBytes)...)
+	c.writeRecord(recordBegin, 1, beginKeepConn)
+	c.writeRecord(recordParams, 1, string(pairs))
+	c.writeRecord(recordParams, 1, "")
+	c.writeRecord(recordStdin, 1, "")
+	if a := receive(t, c.answers, "answer"); a.status != "400" || len(a.body) > textLimit {
+		t.Errorf("got status %s and %d bytes of text, want 400 and at most %d", a.status, len(a.body), textLimit)
+	}
+}
--- a/internal/eventloop/closing.go
+++ b/internal/eventloop/closing.go
@@ -25,9 +25,11 @@
 	}
 	c.closed = true
 	c.loop.Stop(c.connectTimer)
-	c.loop.bufferedBytes -= c.queuedBytes + len(c.unparsed)
+	c.setUnparsed(nil)
+	for i := range c.outputQueue {
+		c.setMemory(&c.outputQueue[i], 0)
+	}
 	c.queuedBytes = 0
-	c.unparsed = nil
 	c.outputQueue = nil
 	c.loop.closeDescriptor(c.fd)
 }
--- a/internal/eventloop/input.go
+++ b/internal/eventloop/input.go
@@ -127,8 +127,7 @@
 func (c *Conn) addInput(data []byte) {
 	c.lastReceivedAt = c.loop.now
 	if len(c.unparsed) > 0 {
-		c.unparsed = append(c.unparsed, data...)
-		c.loop.bufferedBytes += len(data)
+		c.setUnparsed(append(c.unparsed, data...))
 		data = c.unparsed
 	}
 	c.deliver(data)
@@ -147,13 +146,17 @@
 	if c.readingStopped {
 		return
 	}
-	rest := data[used:]
-	c.loop.bufferedBytes += len(rest) - len(c.unparsed)
 	if used > 0 || len(c.unparsed) == 0 {
-		c.unparsed = append([]byte(nil), rest...)
+		c.setUnparsed(append([]byte(nil), data[used:]...))
 	}
 }
 
+// setUnparsed replaces the input that the handler has not consumed, and counts its memory.
+func (c *Conn) setUnparsed(data []byte) {
+	c.loop.bufferedBytes += cap(data) - cap(c.unparsed)
+	c.unparsed = data
+}
+
 // HasUnreadInput reports whether the peer has sent something that has not been read. Closing the connection
 // would lose that input: a peer repeats a request only if the request crossed the close on the network, but an
 // unread request may have arrived long ago, as the process does not always have a CPU. The result is also true
@@ -176,7 +179,6 @@
 	}
 	c.readingStopped = true
 	c.yielded = false
-	c.loop.bufferedBytes -= len(c.unparsed)
-	c.unparsed = nil
+	c.setUnparsed(nil)
 	c.scheduleFlush() // also updates the interest
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -49,7 +49,7 @@
 	groupYielded bool // YieldGroup was called for the group that is served
 
 	toFlush       []*Conn // connections whose flush is scheduled
-	bufferedBytes int     // in the input buffers and output queues of all connections
+	bufferedBytes int     // memory of the input buffers and output queues of all connections
 	readBuffer    []byte  // shared by all reads
 	eventBuffer   []unix.EpollEvent
 
@@ -84,7 +84,7 @@
 // ReadClock reads the clock. It is for uses for which the time of the turn may be too old.
 func (l *Loop) ReadClock() Timestamp { return l.clock.Now() }
 
-// BufferedBytes returns the size of all connections' buffers: input not consumed and output not written.
+// BufferedBytes returns the memory of all connections' buffers: input not consumed and output not written.
 func (l *Loop) BufferedBytes() int { return l.bufferedBytes }
 
 func (l *Loop) updateTime() { l.now = l.clock.Now() }
--- a/internal/eventloop/output.go
+++ b/internal/eventloop/output.go
@@ -17,6 +17,8 @@
 	data      []byte
 	message   Message // nil once a part of it has been written; the rest is in data
 	onWritten func()  // method Written of a message of which a part has been written; otherwise nil
+
+	memoryBytes int // that are counted for it: all of its buffer until the last byte has been written
 }
 
 // isPlainBytes reports whether the output was queued by Write, not as a message.
@@ -39,11 +41,12 @@
 
 func (c *Conn) enqueue(o output) {
 	c.delivery.recordQueued(c.loop.now, c.queuedBytes, len(o.data))
-	c.addQueuedBytes(len(o.data))
+	c.queuedBytes += len(o.data)
 	c.scheduleFlush()
 	if o.message == nil && c.joinWithLast(o.data) {
 		return
 	}
+	c.setMemory(&o, cap(o.data))
 	c.outputQueue = append(c.outputQueue, o)
 }
 
@@ -57,7 +60,13 @@
 	if !lastOutput.isPlainBytes() || len(lastOutput.data)+len(data) > maxJoinedBytes {
 		return false
 	}
+	offset := lastOutput.memoryBytes - cap(lastOutput.data) // written bytes at the start of the buffer
+	grownFrom := cap(lastOutput.data)
 	lastOutput.data = append(lastOutput.data, data...)
+	if cap(lastOutput.data) != grownFrom {
+		offset = 0 // it is a new buffer
+	}
+	c.setMemory(lastOutput, offset+cap(lastOutput.data))
 	return true
 }
 
@@ -70,10 +79,10 @@
 	}
 }
 
-// addQueuedBytes adds n, which may be negative, to the counts of queued output.
-func (c *Conn) addQueuedBytes(n int) {
-	c.queuedBytes += n
-	c.loop.bufferedBytes += n
+// setMemory sets the number of bytes that are counted for an output.
+func (c *Conn) setMemory(o *output, bytes int) {
+	c.loop.bufferedBytes += bytes - o.memoryBytes
+	o.memoryBytes = bytes
 }
 
 // Flush writes queued output at once, as far as the peer accepts it. It is for connections without messages:
@@ -154,12 +163,13 @@
 	c.delivery.recordWritten(n)
 	if head.message != nil {
 		message := head.message
-		c.addQueuedBytes(len(data))
+		c.queuedBytes += len(data)
+		c.setMemory(head, cap(data))
 		head.message = nil
 		head.onWritten = message.Written
 		message.Started(n == len(data))
 	}
-	c.addQueuedBytes(-n)
+	c.queuedBytes -= n
 	if n < len(data) {
 		head.data = data[n:]
 		return false
@@ -167,6 +177,7 @@
 	if head.onWritten != nil {
 		head.onWritten()
 	}
+	c.setMemory(head, 0)
 	c.outputQueue = c.outputQueue[1:]
 	return true
 }
--- a/internal/fastcgi/decoder.go
+++ b/internal/fastcgi/decoder.go
@@ -9,31 +9,37 @@
 
 // Decoder decodes the records of one connection. The zero value is ready for use.
 type Decoder struct {
-	receiving     map[uint16]*partialRequest // requests that are not complete
-	inProgress    map[uint16]bool            // complete requests that have not been answered
-	bufferedBytes int                        // encoded parameters and bodies of the requests in receiving
+	receiving   map[uint16]*partialRequest // requests that are not complete
+	inProgress  map[uint16]bool            // complete requests that have not been answered
+	memoryBytes int                        // of the requests in receiving
 }
 
 // partialRequest is a request of which some records have been decoded.
 type partialRequest struct {
-	req        Request
-	params     []byte // encoded pairs; nil once the empty PARAMS record has ended them
-	paramsDone bool
+	req         Request
+	paramsDone  bool // the empty PARAMS record has ended the parameters
+	memoryBytes int  // as counted by the decoder
 }
 
 // Done tells the decoder that a complete request has been answered or dropped, so that its ID may be reused.
 func (d *Decoder) Done(id uint16) { delete(d.inProgress, id) }
 
-// BufferedBytes returns the size of the parameters and bodies buffered for requests that are not complete.
-// Parameters count only until they are decoded, at the empty PARAMS record.
-func (d *Decoder) BufferedBytes() int { return d.bufferedBytes }
+// MemoryBytes returns how many bytes of memory the requests take that are not complete.
+func (d *Decoder) MemoryBytes() int { return d.memoryBytes }
+
+// countMemory updates the count of bytes after a change to a request that is not complete.
+func (d *Decoder) countMemory(partial *partialRequest) {
+	bytes := partial.req.MemoryBytes()
+	d.memoryBytes += bytes - partial.memoryBytes
+	partial.memoryBytes = bytes
+}
 
 // DropPartial drops all requests that are not complete and returns their IDs. Their further records are
 // ignored.
 func (d *Decoder) DropPartial() []uint16 {
 	ids := slices.Sorted(maps.Keys(d.receiving))
 	clear(d.receiving)
-	d.bufferedBytes = 0
+	d.memoryBytes = 0
 	return ids
 }
 
@@ -128,7 +134,9 @@
 		d.receiving = map[uint16]*partialRequest{}
 		d.inProgress = map[uint16]bool{}
 	}
-	d.receiving[id] = &partialRequest{req: Request{ID: id, KeepConn: keepConn}}
+	partial := &partialRequest{req: Request{ID: id, KeepConn: keepConn}}
+	d.receiving[id] = partial
+	d.countMemory(partial)
 	return nil, nil
 }
 
@@ -156,29 +164,26 @@
 // drop removes a request that is not complete.
 func (d *Decoder) drop(partial *partialRequest) {
 	delete(d.receiving, partial.req.ID)
-	d.bufferedBytes -= len(partial.params) + len(partial.req.Body)
+	d.memoryBytes -= partial.memoryBytes
 }
 
 // addParams handles a PARAMS record; an empty one ends the parameters. Parameters after the end are rejected
 // like parameters over the limit.
 func (d *Decoder) addParams(partial *partialRequest, content []byte) (Event, error) {
 	if len(content) > 0 {
-		if partial.paramsDone || len(partial.params)+len(content) > maxParamBytes {
+		if partial.paramsDone || len(partial.req.Params)+len(content) > maxParamBytes {
 			return d.reject(partial), nil
 		}
-		partial.params = append(partial.params, content...)
-		d.bufferedBytes += len(content)
+		partial.req.Params = append(partial.req.Params, content...)
+		d.countMemory(partial)
 		return nil, nil
 	}
-	params, err := decodePairs(partial.params)
-	if err != nil {
+	if err := partial.req.Params.check(); err != nil {
 		return nil, err
 	}
-	d.bufferedBytes -= len(partial.params)
-	partial.req.Params = params
-	partial.req.Script = params["SCRIPT_NAME"]
-	partial.params = nil
+	partial.req.Script = partial.req.Params.Get("SCRIPT_NAME")
 	partial.paramsDone = true
+	d.countMemory(partial)
 	return nil, nil
 }
 
@@ -189,7 +194,7 @@
 			return d.reject(partial), nil
 		}
 		partial.req.Body = append(partial.req.Body, content...)
-		d.bufferedBytes += len(content)
+		d.countMemory(partial)
 		return nil, nil
 	}
 	if !partial.paramsDone {
--- a/internal/fastcgi/event.go
+++ b/internal/fastcgi/event.go
@@ -7,13 +7,21 @@
 
 // Request is a complete request.
 type Request struct {
-	ID       uint16            // unique among the connection's requests in progress
-	KeepConn bool              // the connection stays open after the response
-	Script   string            // SCRIPT_NAME
-	Params   map[string]string // by their CGI names, unchanged
+	ID       uint16 // unique among the connection's requests in progress
+	KeepConn bool   // the connection stays open after the response
+	Script   string // SCRIPT_NAME
+	Params   Params // by their CGI names, unchanged
 	Body     []byte
 }
 
+// requestOverheadBytes is the memory that a request takes beside its parameters and its body.
+const requestOverheadBytes = 256
+
+// MemoryBytes returns how many bytes of memory the request takes.
+func (r *Request) MemoryBytes() int {
+	return requestOverheadBytes + len(r.Script) + cap(r.Params) + cap(r.Body)
+}
+
 // Rejected is a request that exceeds a limit on its parameters or body, or that has parameters after the empty
 // PARAMS record. The rest of the request is skipped; the connection continues.
 type Rejected struct {
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -89,7 +90,7 @@
 			t.Fatalf("pieces of %d: got events %v, error %v, want 2 requests", pieceBytes, events, err)
 		}
 		r := events[1].(*Request)
-		if r.ID != 2 || !r.KeepConn || r.Script != "/ops/artes" || len(r.Params["LONG"]) != 300 || string(r.Body) != "abcd" {
+		if r.ID != 2 || !r.KeepConn || r.Script != "/ops/artes" || len(r.Params.Get("LONG")) != 300 || string(r.Body) != "abcd" {
 			t.Fatalf("pieces of %d: got request %+v, want that of completeRequest(2)", pieceBytes, r)
 		}
 	}
@@ -186,8 +187,8 @@
 		if len(events) != 1 || !reflect.DeepEqual(events[0], c.want) {
 			t.Errorf("%s: got events %+v", name, events)
 		}
-		if name != "too many requests" && (d.BufferedBytes() != 0 || d.Busy()) {
-			t.Errorf("%s: %d bytes buffered, or still busy", name, d.BufferedBytes())
+		if name != "too many requests" && (d.MemoryBytes() != 0 || d.Busy()) {
+			t.Errorf("%s: %d bytes buffered, or still busy", name, d.MemoryBytes())
 		}
 		dropped := len(d.DropPartial())
 		if d.Busy() || (dropped > 0) != (name == "too many requests") {
@@ -201,8 +202,8 @@
 	var d Decoder
 	for range 3 {
 		decodeAll(t, &d, completeRequest(1))
-		if !d.Busy() || d.BufferedBytes() != 0 {
-			t.Fatalf("after a complete request: busy is %v, want true; %d bytes buffered, want 0", d.Busy(), d.BufferedBytes())
+		if !d.Busy() || d.MemoryBytes() != 0 {
+			t.Fatalf("after a complete request: busy is %v, want true; %d bytes buffered, want 0", d.Busy(), d.MemoryBytes())
 		}
 		d.Done(1)
 	}
@@ -235,8 +236,8 @@
 		var d Decoder
 		for len(data) > 0 {
 			used, _, err := d.Decode(data)
-			if used < 0 || used > len(data) || d.BufferedBytes() < 0 {
-				t.Fatalf("used %d of %d bytes, %d bytes buffered", used, len(data), d.BufferedBytes())
+			if used < 0 || used > len(data) || d.MemoryBytes() < 0 {
+				t.Fatalf("used %d of %d bytes, %d bytes buffered", used, len(data), d.MemoryBytes())
 			}
 			if err != nil || used == 0 {
 				return
@@ -245,3 +246,70 @@
 		}
 	})
 }
+
+// Guards against requests that take more memory than is counted for them (review/8): with many short parameters, their
+// decoded form took some ten times the counted bytes, and was counted no more once the parameters had ended.
+func TestMemoryBytesCoverTheHeap(t *testing.T) {
+	const decoders = 50
+	shortParams := func(count int) string {
+		var pairs []string
+		for n := range count {
+			pairs = append(pairs, string([]byte{byte('!' + n%90), byte('!' + n/90)}), "")
+		}
+		return encodeParams(pairs...)
+	}
+	for name, records := range map[string]func(id uint16) []byte{
+		"only its beginning":    func(uint16) []byte { return nil },
+		"many short parameters": func(id uint16) []byte { return encodeRecord(typeParams, id, shortParams(4000)) },
+		"many short parameters, ended": func(id uint16) []byte {
+			return join(encodeRecord(typeParams, id, shortParams(4000)), encodeRecord(typeParams, id, ""))
+		},
+		"parameters in small records": func(id uint16) (data []byte) {
+			for range 2000 {
+				data = append(data, encodeRecord(typeParams, id, encodeParams("ab", ""))...)
+			}
+			return data
+		},
+		"a body in small records": func(id uint16) (data []byte) {
+			for range 1000 {
+				data = append(data, encodeRecord(typeStdin, id, "0123456789012345678901234567890")...)
+			}
+			return data
+		},
+		"a large body": func(id uint16) []byte { return encodeRecord(typeStdin, id, strings.Repeat("x", 60_000)) },
+	} {
+		var partial [decoders]Decoder
+		before := heapBytes()
+		counted := 0
+		for i := range partial {
+			for id := range uint16(maxRequests) {
+				decodeAll(t, &partial[i], join(encodeBegin(id+1, roleResponder, flagKeepConn), records(id+1)))
+			}
+			counted += partial[i].MemoryBytes()
+		}
+		held := heapBytes() - before
+		t.Logf("%s: %d bytes of heap for a request, %d counted", name, held/decoders/maxRequests, counted/decoders/maxRequests)
+		if held > counted {
+			t.Errorf("%s: the requests take %d bytes, %d are counted", name, held, counted)
+		}
+		for i := range partial {
+			partial[i].DropPartial()
+		}
+	}
+}
+
+// heapBytes returns the size of the heap after a garbage collection.
+func heapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// The last of several parameters with one name counts, and a missing one is empty.
+func TestParamsGet(t *testing.T) {
+	params := AppendParam(AppendParam(AppendParam(nil, "A", "1"), "B", ""), "A", "2")
+	if a, b, c := params.Get("A"), params.Get("B"), params.Get("C"); a != "2" || b != "" || c != "" {
+		t.Errorf("got %q, %q and %q, want 2 and two empty values", a, b, c)
+	}
+}
--- a/internal/fastcgi/management.go
+++ b/internal/fastcgi/management.go
@@ -13,14 +13,13 @@
 	if recordType != typeGetValues {
 		return Reply{Data: encodeUnknownType(recordType)}, nil
 	}
-	requested, err := decodePairs(content)
-	if err != nil {
+	requested := Params(content)
+	if err := requested.check(); err != nil {
 		return nil, err
 	}
 	var pairs []byte
 	for _, variable := range knownVariables {
-		_, isRequested := requested[variable.name]
-		if isRequested {
+		if requested.has(variable.name) {
 			pairs = appendPair(pairs, variable.name, variable.value)
 		}
 	}
--- a/internal/fastcgi/pairs.go
+++ b/internal/fastcgi/pairs.go
@@ -13,24 +13,70 @@
 	longLengthBytes = 4
 )
 
-// decodePairs decodes a list of name-value pairs.
-func decodePairs(data []byte) (map[string]string, error) {
-	pairs := map[string]string{}
-	for len(data) > 0 {
-		nameLength, nameLengthBytes := decodePairLength(data)
-		valueLength, valueLengthBytes := decodePairLength(data[nameLengthBytes:])
-		if nameLengthBytes == 0 || valueLengthBytes == 0 {
-			return nil, fmt.Errorf("%w: truncated name-value pair", ErrRecord)
+// Params are a request's parameters in their encoded form. Decoded, many short ones would take some ten times the memory.
+type Params []byte
+
+// Get returns the value of a parameter, of several with the name the last one; empty if there is none. The parameters
+// must be well-formed, as those of a Request are.
+func (p Params) Get(name string) string {
+	var found []byte
+	for rest := []byte(p); len(rest) > 0; {
+		var pairName, value []byte
+		var err error
+		pairName, value, rest, err = nextPair(rest)
+		if err != nil {
+			break
+		}
+		if string(pairName) == name {
+			found = value
 		}
-		data = data[nameLengthBytes+valueLengthBytes:]
-		if nameLength > len(data) || valueLength > len(data)-nameLength {
-			return nil, fmt.Errorf("%w: truncated name-value pair", ErrRecord)
+	}
+	return string(found)
+}
+
+// AppendParam appends a parameter.
+func AppendParam(params Params, name, value string) Params { return appendPair(params, name, value) }
+
+// check returns an error, which wraps ErrRecord, if the parameters are not well-formed.
+func (p Params) check() error {
+	for rest := []byte(p); len(rest) > 0; {
+		var err error
+		_, _, rest, err = nextPair(rest)
+		if err != nil {
+			return err
 		}
-		name := string(data[:nameLength])
-		pairs[name] = string(data[nameLength : nameLength+valueLength])
-		data = data[nameLength+valueLength:]
 	}
-	return pairs, nil
+	return nil
+}
+
+// has reports whether there is a parameter with the name.
+func (p Params) has(name string) bool {
+	for rest := []byte(p); len(rest) > 0; {
+		pairName, _, next, err := nextPair(rest)
+		if err != nil {
+			return false
+		}
+		if string(pairName) == name {
+			return true
+		}
+		rest = next
+	}
+	return false
+}
+
+// nextPair decodes the first name-value pair of a list that is not empty, and returns the rest of the list.
+func nextPair(list []byte) (name, value, rest []byte, err error) {
+	nameLength, nameLengthBytes := decodePairLength(list)
+	valueLength, valueLengthBytes := decodePairLength(list[nameLengthBytes:])
+	if nameLengthBytes == 0 || valueLengthBytes == 0 {
+		return nil, nil, nil, fmt.Errorf("%w: truncated name-value pair", ErrRecord)
+	}
+	list = list[nameLengthBytes+valueLengthBytes:]
+	if nameLength > len(list) || valueLength > len(list)-nameLength {
+		return nil, nil, nil, fmt.Errorf("%w: truncated name-value pair", ErrRecord)
+	}
+	valueEnd := nameLength + valueLength
+	return list[:nameLength], list[nameLength:valueEnd], list[valueEnd:], nil
 }
 
 // decodePairLength decodes a length. size is how many bytes the length itself takes, 0 if data ends within it.
--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -19,6 +19,9 @@
 // may be blocked; then it is rejected. A later rejection would leave the client too little time for a retry.
 const blockedTimeoutDivisor = 2
 
+// blockedRequestOverheadBytes is the memory that a blocked request takes beside the request itself.
+const blockedRequestOverheadBytes = 512
+
 // errMemoryLimit says that a connection was closed because its unread answers take memory that the process
 // lacks.
 var errMemoryLimit = errors.New("memory limit reached")
--- a/internal/proxy/clientclose.go
+++ b/internal/proxy/clientclose.go
@@ -89,7 +89,10 @@
 // unlike any other cause, must not happen while a request is open.
 func (c *clientConn) release(err error) {
 	c.recordClose(err)
-	delete(c.server.conns, c)
+	if c.server.conns[c] {
+		delete(c.server.conns, c)
+		c.server.memory.clientConns--
+	}
 	delete(c.server.blockedConns, c)
 	for _, number := range c.openRequests {
 		c.server.handler.handleConnectionClosed(number, errors.Is(err, errEvicted))
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -41,7 +41,7 @@
 	closingSince     eventloop.Timestamp // when the graceful close began; 0: it has not
 	hold             connHold            // why it is still open although clients are to be disconnected
 
-	partialBytes    int                 // buffered bytes of partial and blocked requests
+	partialBytes    int                 // memory of partial and blocked requests
 	skipBytes       int                 // bytes of a discarded record that have not been received yet
 	incompleteSince eventloop.Timestamp // when the wait for the first request, or the rest of one, began; 0: no wait
 
@@ -65,10 +65,11 @@
 		return len(data), nil
 	}
 	used = skippedBytes + decodedBytes
-	if c.server.memory.critical() {
+	c.updatePartialBytes()
+	if c.mustRejectPartial(len(data) - used) {
 		used += c.rejectPartial(data[used:])
+		c.updatePartialBytes()
 	}
-	c.updatePartialBytes()
 	hasPartial := used < len(data) || c.decoder.Receiving()
 	c.updateIncompleteSince(hasPartial, c.completeRequests > completeBefore)
 	return used, nil
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -96,6 +96,7 @@
 		openRequests: map[uint16]int64{}, incompleteSince: f.loop.Now(), lastRequestAt: f.loop.Now(),
 	}
 	f.conns[c] = true
+	f.memory.clientConns++
 	return c
 }
 
--- a/internal/proxy/fields.go
+++ b/internal/proxy/fields.go
@@ -38,11 +38,11 @@
 		return Request{}, fmt.Errorf("no such operation: %q", r.Script)
 	}
 	parsed := Request{
-		ID:             r.Params["HTTP_REQ_ID"],
+		ID:             r.Params.Get("HTTP_REQ_ID"),
 		Class:          class,
 		ClassName:      className,
-		Object:         r.Params["HTTP_REQ_KEY"],
-		IdempotencyKey: r.Params["HTTP_REQ_TOKEN"],
+		Object:         r.Params.Get("HTTP_REQ_KEY"),
+		IdempotencyKey: r.Params.Get("HTTP_REQ_TOKEN"),
 		Body:           r.Body,
 	}
 	if !isHexID(parsed.ID) || !isHexID(parsed.Object) {
@@ -57,7 +57,7 @@
 	}
 	// A version in any other form can't be forwarded. Without a version the client gets the complete object,
 	// which is always correct.
-	version := r.Params["HTTP_X_VER"]
+	version := r.Params.Get("HTTP_X_VER")
 	if isHexID(version) {
 		parsed.KnownVersion = version
 	}
@@ -65,11 +65,11 @@
 }
 
 // parseNumbers decodes the fields that hold numbers.
-func (r *Request) parseNumbers(params map[string]string) error {
-	timeoutMillis, errTimeout := decimal(params["HTTP_REQ_WAIT_MS"], 1, maxTimeoutMillis)
-	part, errPart := decimal(params["HTTP_X_PIECE"], 0, maxPart)
-	group, errGroup := decimal(params["HTTP_X_LOT"], 0, maxGroup)
-	size, errSize := sizeKB(params["HTTP_REQ_KB"])
+func (r *Request) parseNumbers(params fastcgi.Params) error {
+	timeoutMillis, errTimeout := decimal(params.Get("HTTP_REQ_WAIT_MS"), 1, maxTimeoutMillis)
+	part, errPart := decimal(params.Get("HTTP_X_PIECE"), 0, maxPart)
+	group, errGroup := decimal(params.Get("HTTP_X_LOT"), 0, maxGroup)
+	size, errSize := sizeKB(params.Get("HTTP_REQ_KB"))
 	r.Timeout = time.Duration(timeoutMillis) * time.Millisecond
 	r.Part = part
 	r.Group = group
--- a/internal/proxy/fields_test.go
+++ b/internal/proxy/fields_test.go
@@ -24,6 +24,10 @@
 
 // requestWith returns a well-formed request with an additional field.
 func requestWith(field, value string) *fastcgi.Request {
-	return &fastcgi.Request{Script: "/ops/artes", Params: map[string]string{"HTTP_REQ_ID": "9b1f03aa5c7e2d41",
-		"HTTP_REQ_KEY": "7f3a9c21e0b4d655", "HTTP_REQ_WAIT_MS": "1500", "HTTP_X_PIECE": "0", "HTTP_X_LOT": "17", field: value}}
+	var params fastcgi.Params
+	for _, pair := range [][2]string{{"HTTP_REQ_ID", "9b1f03aa5c7e2d41"}, {"HTTP_REQ_KEY", "7f3a9c21e0b4d655"},
+		{"HTTP_REQ_WAIT_MS", "1500"}, {"HTTP_X_PIECE", "0"}, {"HTTP_X_LOT", "17"}, {field, value}} {
+		params = fastcgi.AppendParam(params, pair[0], pair[1])
+	}
+	return &fastcgi.Request{Script: "/ops/artes", Params: params}
 }
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -1,9 +1,13 @@
 package proxy
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
+	"time"
 
 	"cloverdoor/internal/eventloop"
+	"cloverdoor/internal/watch"
 	"cloverdoor/policy"
 )
 
@@ -60,3 +64,41 @@
 		}
 	}
 }
+
+// heapBytes returns the size of the heap after a garbage collection.
+func heapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
+
+// Guards against open requests that take more memory than is counted for them (review/8, related paths).
+func TestCountedMemoryCoversOpenRequests(t *testing.T) {
+	const requests = 25
+	f := newProxyFixture(t)
+	caches := &watch.EndpointUpdate{} // so many that the origin is taken to have room for all requests
+	for n := range 2000 {
+		caches.Endpoints = append(caches.Endpoints, watch.Endpoint{
+			ID: fmt.Sprint("c", n), Addr: "127.0.0.1:1", Zone: "hub", Kind: "std", State: watch.StateServing,
+		})
+	}
+	f.p.endpoints.apply(caches)
+	submit := func(n int) {
+		f.p.submitRequest(Request{
+			ID: fmt.Sprintf("%016x", n), ClassName: "w", Object: fmt.Sprintf("%016x", n), Timeout: time.Minute, Body: make([]byte, 1000),
+		}, discardResponder{})
+		f.p.dispatchEvents()
+	}
+	submit(0) // what is made once
+	countedBefore, heapBefore := f.p.memory.openRequests, heapBytes()
+	for n := range requests {
+		submit(n + 1)
+	}
+	held := heapBytes() - heapBefore
+	counted := f.p.memory.openRequests - countedBefore
+	t.Logf("%d bytes of heap for a request, %d counted", held/requests, counted/requests)
+	if len(f.p.requests) != requests+1 || held > counted {
+		t.Errorf("%d open requests take %d bytes, %d are counted", len(f.p.requests), held, counted)
+	}
+}
--- a/internal/proxy/partialrequest.go
+++ b/internal/proxy/partialrequest.go
@@ -1,7 +1,7 @@
 package proxy
 
-// This file counts the memory that requests take before they are submitted, and frees that of partial requests
-// while the memory budget is critical.
+// This file counts the memory that requests take before they are submitted, and frees that of partial requests while the
+// memory budget is critical, or while they take too much of it.
 
 import (
 	"cloverdoor/internal/fastcgi"
@@ -34,11 +34,17 @@
 	return len(record)
 }
 
-// updatePartialBytes recounts the bytes of the connection's partial and blocked requests.
+// mustRejectPartial reports whether the connection's partial requests, of which an incomplete record of recordBytes is
+// the last part, take more memory than they may.
+func (c *clientConn) mustRejectPartial(recordBytes int) bool {
+	return c.partialBytes+recordBytes > c.server.memory.partialShare()
+}
+
+// updatePartialBytes recounts the memory of the connection's partial and blocked requests.
 func (c *clientConn) updatePartialBytes() {
-	buffered := c.decoder.BufferedBytes()
+	buffered := c.decoder.MemoryBytes()
 	for _, b := range c.blocked {
-		buffered += len(b.request.Body)
+		buffered += blockedRequestOverheadBytes + b.request.MemoryBytes()
 	}
 	c.setPartialBytes(buffered)
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -42,6 +42,9 @@
 	record        requestRecord       // the invariant checker's record of the request
 }
 
+// memoryBytes returns the memory that the request takes until it is released.
+func (q *request) memoryBytes() int { return openRequestOverheadBytes + cap(q.Body) }
+
 // isIdempotent reports whether the request may be executed any number of times.
 func (q *request) isIdempotent() bool { return q.idempotency == policy.Idempotent }
 
@@ -100,7 +103,7 @@
 	}
 	p.requests[q.number] = q
 	p.openRequests++
-	p.memory.requestBodies += len(q.Body)
+	p.memory.openRequests += q.memoryBytes()
 	q.expectedBytes = p.memory.reserveAnswer(q.ClassName)
 	q.timer = p.loop.At(q.deadline, func() { p.expire(q) })
 	return q
@@ -268,6 +271,6 @@
 		return
 	}
 	p.loop.Stop(q.timer)
-	p.memory.requestBodies -= len(q.Body)
+	p.memory.openRequests -= q.memoryBytes()
 	delete(p.requests, q.number)
 }
--- a/internal/proxy/responder.go
+++ b/internal/proxy/responder.go
@@ -40,9 +40,13 @@
 	}
 }
 
-// writeError answers with a status and the error's text.
+// maxErrorBytes is the number of bytes of an error's text that a client is sent. It may quote what the client has sent.
+const maxErrorBytes = 200
+
+// writeError answers with a status and the beginning of the error's text.
 func (r *responder) writeError(status int, err error) {
-	r.write(fastcgi.Response{Status: status, Body: []byte(err.Error() + "\n")})
+	text := err.Error()
+	r.write(fastcgi.Response{Status: status, Body: []byte(text[:min(len(text), maxErrorBytes)] + "\n")})
 }
 
 // write writes a response, unless the connection has ended or has to be closed for lack of memory.
