Clients: no call is written while a client's end may wait behind unread input

Cause: the end arrives behind the input; with a full receive buffer it waits on the client's host. The trace has 14 reads and then the end, the calls after the first read. After a protocol error nothing was read, and a late end counted as later than the last poll.

Change: inputBacklog says since when input may wait; before a call it is read, and the call waits while some is left. Input after a protocol error is discarded, and an end behind input counts from its arrival.

Command: go test ./cmd/edgeproxy -run TestNothingIsSentForAClientThatHasLeft -v

--- a/cmd/edgeproxy/lateread_test.go
+++ b/cmd/edgeproxy/lateread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -120,3 +121,45 @@
 		t.Errorf("call %q was made for a request after the close of its connection", got.args)
 	}
 }
+
+// TestNothingIsSentForAClientThatHasLeft guards against requests that are sent on after their client has closed its
+// connection, because the end waits behind input that has not been read (reported from other deployments). The large
+// input is more than the sockets' buffers hold on the program's side, so that the end is not there either.
+func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
+	const bodyBytes, sinceLeft = 40_000, 300 * time.Millisecond
+	for name, habit := range map[string]struct{ requests, ids int }{
+		"a little input":                {3, 30},
+		"much input":                    {100, 100},
+		"much input, and a broken rule": {100, 30}, // ids of open requests are used again
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := startTestEnv(t)
+			conn, err := net.Dial("tcp", env.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := &client{Conn: conn}
+			c.request(1, "artes", longTimeoutMS, 1, "")
+			receive(t, env.cache.calls, "call").answer("served", "-", "fine")
+			if _, err := conn.Read(make([]byte, 1000)); err != nil {
+				t.Fatal(err)
+			}
+			resume := env.pause()
+			out := &bufferedConn{Conn: conn}
+			for n := range habit.requests {
+				(&client{Conn: out}).request(uint16(n%habit.ids+1), "registro", longTimeoutMS, n, strings.Repeat("x", bodyBytes))
+			}
+			conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) //nolint:errcheck // a connection supports it
+			written, _ := conn.Write(out.buffer)
+			closeOnce(t, conn)
+			time.Sleep(sinceLeft) // not a race: more time than may pass between a client's end and the start of a call
+			resume()
+			select {
+			case call := <-env.origin.calls:
+				t.Errorf("%d bytes written: call %q was sent for a client that had left", written, call.args[:3])
+			case <-time.After(500 * time.Millisecond):
+			}
+		})
+	}
+}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -23,7 +23,7 @@
 	closing        bool   // CloseAfterFlush was called
 	closed         bool   // the descriptor is closed
 	registered     bool   // with epoll
-	readingStopped bool   // StopReading was called
+	readingStopped bool   // StopReading was called: input is read and discarded
 	peerHalfClosed bool   // a HalfCloser was notified that the peer has shut down its sending side
 	inputEnded     bool   // all input up to the peer's shutdown has been read
 	flushScheduled bool   // the connection is in Loop.toFlush
@@ -47,6 +47,7 @@
 	connectDuration time.Duration // see ConnectDuration
 
 	delays   inputDelays
+	backlog  inputBacklog
 	delivery delivery
 	peer     peerWindow
 }
@@ -117,8 +118,8 @@
 }
 
 // isReset reports whether events say that the connection has ended and its remaining input is of no use: all
-// of it has been read, reading was stopped, or the peer of a HalfCloser has reset the connection and so wants
-// no answer any more.
+// of it has been read, it is discarded, or the peer of a HalfCloser has reset the connection and so wants no
+// answer any more.
 func (c *Conn) isReset(events uint32) bool {
 	if (c.inputEnded || c.readingStopped) && events&errorEvents != 0 {
 		return true
@@ -127,9 +128,9 @@
 	return isHalfCloser && events&unix.EPOLLERR != 0
 }
 
-// wantsInput reports whether input is to be read. While the connection is closing, input is read and
+// wantsInput reports whether input is to be read. After StopReading and while the connection is closing, it is read and
 // discarded.
-func (c *Conn) wantsInput() bool { return !c.inputEnded && (!c.readingStopped || c.closing) }
+func (c *Conn) wantsInput() bool { return !c.inputEnded }
 
 // notifyPeerClosing notifies a HalfCloser, once, that the peer has shut down its sending side.
 func (c *Conn) notifyPeerClosing() {
@@ -142,10 +143,13 @@
 }
 
 // peerClosedAfter returns a time after which the peer shut down its sending side; 0: unknown. The previous
-// poll would have reported an earlier shutdown, unless the connection is newer than that poll.
+// poll would have reported an earlier shutdown, unless the connection is newer than that poll or input was in the way.
 func (c *Conn) peerClosedAfter() Timestamp {
 	if c.createdAt >= c.loop.previousPollEnd {
 		return c.delays.connectedAfter
 	}
+	if unreadSince := c.UnreadInputSince(); unreadSince != 0 {
+		return min(unreadSince, c.loop.previousPollEnd)
+	}
 	return c.loop.previousPollEnd
 }
--- a/internal/eventloop/delay.go
+++ b/internal/eventloop/delay.go
@@ -95,9 +95,10 @@
 // bytes that were read: after much input, or if some was left, the rest may have waited in a socket buffer of
 // either host.
 func (c *Conn) recordInputWaiting(bytesRead int) {
+	waited := max(c.delays.queueingDelay, c.loop.SchedulingDelay(c.loop.pollTimeout))
+	c.backlog.recordRead(c.loop.clock.Now(), waited, bytesRead, c.inputLeft)
 	c.delays.inputWaitingSince = 0
 	if bytesRead >= largeInputBytes || c.inputLeft {
-		waited := max(c.delays.queueingDelay, c.loop.SchedulingDelay(c.loop.pollTimeout))
 		c.delays.inputWaitingSince = c.loop.now - waited
 	}
 }
--- a/internal/eventloop/handler.go
+++ b/internal/eventloop/handler.go
@@ -13,7 +13,7 @@
 }
 
 // HalfCloser is a Handler that supports peers which shut down their sending side and still expect output. After
-// CloseAfterFlush neither PeerClosing nor PeerClosed is called, and after StopReading PeerClosed is not.
+// CloseAfterFlush neither PeerClosing nor PeerClosed is called.
 type HalfCloser interface {
 	Handler
 	// PeerClosing is called once, when the loop notices that the peer has shut down its sending side. Input
--- a/internal/eventloop/input.go
+++ b/internal/eventloop/input.go
@@ -82,9 +82,10 @@
 		c.handleInputEnd()
 		return 0, false
 	}
-	if c.closing {
+	switch {
+	case c.closing:
 		c.discardedBytes += n
-	} else {
+	case !c.readingStopped:
 		c.addInput(buffer[:n])
 	}
 	if c.yielded || !c.canRead() {
@@ -171,8 +172,8 @@
 	return n > 0
 }
 
-// StopReading leaves further input unread and drops input that has not been consumed. The peer's half-close
-// is still noticed, and queued output is still written.
+// StopReading drops input that has not been consumed, and discards further input. The peer's half-close is still noticed,
+// which unread input would hide, and queued output is still written.
 func (c *Conn) StopReading() {
 	if c.Ended() {
 		return
--- a/internal/eventloop/interest.go
+++ b/internal/eventloop/interest.go
@@ -33,13 +33,7 @@
 	switch {
 	case c.inputEnded:
 		return 0
-	case c.closing:
-		return unix.EPOLLIN
-	case c.readingStopped && c.peerHalfClosed:
-		return 0
-	case c.readingStopped:
-		return unix.EPOLLRDHUP
-	case c.peerHalfClosed:
+	case c.closing, c.peerHalfClosed:
 		return unix.EPOLLIN
 	}
 	return unix.EPOLLIN | unix.EPOLLRDHUP
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -20,7 +20,7 @@
 
 func (discardResponder) Respond(Answer) {}
 
-func (discardResponder) PollClient() {}
+func (discardResponder) PollClient() bool { return true }
 
 func (discardResponder) ClientDisconnected() DisconnectState { return DisconnectState{} }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -23,6 +23,9 @@
 	maxAgeTolerance = 2 * time.Millisecond
 )
 
+// catchUpInterval is the time after which a call is tried again whose client has input that has not been read.
+const catchUpInterval = 20 * time.Millisecond
+
 var errPartialWrite = errors.New("peer did not read the whole call in time")
 
 // queueEntry is an attempt's call in the output queue of a connection. It implements eventloop.Message. Only
@@ -36,12 +39,17 @@
 // Encode encodes the call when its first byte is about to be written. It asks the decision module again, as
 // the target may have begun to drain, or the object may have been purged, while the call waited for its
 // connection. It returns false if the entry is not the attempt's last one, if the call has been started or its
-// attempt has ended, or if the call may no longer be sent, which ends the attempt.
+// attempt has ended, if the call has to wait for input of its client, or if it may no longer be sent, which ends the
+// attempt.
 func (e queueEntry) Encode() ([]byte, bool) {
 	a := e.attempt
 	if a.ended || a.started || a.lastSequence != e.sequence {
 		return nil, false
 	}
+	if !a.req.responder.PollClient() && !a.req.finished {
+		a.sendLater()
+		return nil, false
+	}
 	now := a.p.loop.ReadClock() // the process may have been suspended since the turn began
 	fetch, allowed := a.maySend(now)
 	if !allowed {
@@ -54,6 +62,18 @@
 	return resp.AppendCall(nil, &call), true
 }
 
+// sendLater queues the call again after catchUpInterval. It is for a client whose end may wait behind input that has not
+// been read.
+func (a *attempt) sendLater() {
+	a.lastSequence++
+	sequence := a.lastSequence
+	a.p.loop.At(a.p.loop.Now()+catchUpInterval, func() {
+		if !a.ended && a.lastSequence == sequence {
+			a.upstream.conn.Send(queueEntry{a, sequence})
+		}
+	})
+}
+
 // oldestCopy returns the earliest creation time of a copy that is accepted as the answer to a call that is sent at the
 // time now, in the coordinator's time; 0: any time. A limit by a purge has no tolerance: a copy that exceeds it by any
 // time may be older than the purge.
@@ -93,7 +113,6 @@
 
 // maySend asks the decision module whether the call may be sent now, and with which parameters.
 func (a *attempt) maySend(now eventloop.Timestamp) (policy.Fetch, bool) {
-	a.req.responder.PollClient() // may finish the request
 	disconnected := a.req.responder.ClientDisconnected().GraceOver
 	if a.req.finished {
 		a.p.counters.recordVerdict(actionSend, policy.Verdict{Rule: policy.RuleAnswer, Reason: policy.ReasonAnswered})
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -49,6 +49,7 @@
 	consecutiveReplies int                 // replies to other records since then
 
 	polledAt          eventloop.Timestamp // when the client was last polled within a turn of the event loop
+	caughtUpAt        eventloop.Timestamp // see catchUp
 	disconnectedSince eventloop.Timestamp // the client closed its sending side after this time; 0: that side is open
 }
 
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -16,6 +16,8 @@
 	// clientPollInterval is the time since the last read from a client after which the client is polled within
 	// a turn of the event loop.
 	clientPollInterval = 30 * time.Millisecond
+	// maxCatchUpPolls is the number of times that a client is polled to read what it has sent before an attempt.
+	maxCatchUpPolls = 8
 	// unknownDisconnectTime stands for the time of a disconnect if that time is unknown. It is long ago, so that
 	// the grace is over.
 	unknownDisconnectTime eventloop.Timestamp = 1
@@ -39,14 +41,38 @@
 }
 
 // pollClient reads what the client has sent since the turn began, if both the start of the turn and the last
-// poll are longer ago than clientPollInterval: the client may have disconnected or aborted a request meanwhile.
-func (c *clientConn) pollClient() {
+// poll are longer ago than clientPollInterval: the client may have disconnected or aborted a request meanwhile. If its
+// input has waited unread for as long, it reads that. It reports whether nothing is left that has waited for
+// disconnectGrace: the client's end may be behind it.
+func (c *clientConn) pollClient() (caughtUp bool) {
 	now := c.server.loop.ReadClock()
 	lastRead := max(c.polledAt, c.server.loop.Now())
 	if now-lastRead > clientPollInterval {
 		c.polledAt = now
 		c.conn.PollNow()
 	}
+	c.catchUp()
+	return c.unreadTime() < disconnectGrace
+}
+
+// catchUp reads input that has waited for longer than clientPollInterval, once in a turn.
+func (c *clientConn) catchUp() {
+	if c.caughtUpAt == c.server.loop.Now() {
+		return
+	}
+	for polls := 0; polls < maxCatchUpPolls && c.unreadTime() > clientPollInterval; polls++ {
+		c.caughtUpAt = c.server.loop.Now()
+		c.conn.PollNow()
+	}
+}
+
+// unreadTime returns for how long input may have waited that has not been read; 0: none is known.
+func (c *clientConn) unreadTime() time.Duration {
+	since := c.conn.UnreadInputSince()
+	if since == 0 || c.conn.Ended() {
+		return 0
+	}
+	return c.server.loop.ReadClock() - since
 }
 
 // cancelOpenRequests ends the requests of a client that has disconnected: it rejects the blocked ones and cancels
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -61,8 +61,9 @@
 	Respond(Answer)
 	// PollClient reads what the client has sent since the turn of the event loop began, if the turn began long
 	// ago. The client may have disconnected or aborted the request, which then ends before PollClient returns:
-	// the caller must check the request's state again.
-	PollClient()
+	// the caller must check the request's state again. It reports whether all has been read that the client sent some
+	// time ago: otherwise the client may have disconnected long ago.
+	PollClient() (caughtUp bool)
 	// ClientDisconnected says whether the client has disconnected, as far as the input read so far shows.
 	ClientDisconnected() DisconnectState
 }
--- a/internal/proxy/responder.go
+++ b/internal/proxy/responder.go
@@ -18,7 +18,7 @@
 const responseOverheadBytes = 256
 
 // PollClient implements Responder.
-func (r *responder) PollClient() { r.conn.pollClient() }
+func (r *responder) PollClient() (caughtUp bool) { return r.conn.pollClient() }
 
 // ClientDisconnected implements Responder.
 func (r *responder) ClientDisconnected() DisconnectState { return r.conn.disconnectState() }
