Writes: an id that comes again does not run again, also at another process

Cause: only calls in flight on one connection knew the ids of requests; what a request had done ended with it, and with the process.

A claimed id is answered as failed; it is free again if nothing ran.

--- a/cmd/edgeproxy/config.go
+++ b/cmd/edgeproxy/config.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 
+	"cloverdoor/internal/dedup"
 	"cloverdoor/internal/proxy"
 	"cloverdoor/internal/settings"
 	"cloverdoor/internal/watch"
@@ -139,6 +142,25 @@
 	return nil
 }
 
+// claimedIDsFile is the name of the file in $TMPDIR with the ids of writes that processes share which serve on one socket.
+const claimedIDsFile = "claimed-request-ids"
+
+// openClaimedIDs returns the table of the ids of writes. It is shared if another process may serve on the same socket, and
+// the platform has given both a folder in memory. A file that can't be used is logged: writes are then remembered by this
+// process alone.
+func (c *config) openClaimedIDs(env func(name string) string, logger *slog.Logger) *dedup.Table {
+	folder := env("TMPDIR")
+	if c.inheritedListenFD == 0 || folder == "" {
+		return dedup.New()
+	}
+	table, err := dedup.Open(filepath.Join(folder, claimedIDsFile))
+	if err != nil {
+		logger.Warn("ids of writes are not shared with other processes", "error", err)
+		return dedup.New()
+	}
+	return table
+}
+
 // parseAddresses parses the addresses for clients, for operators and of the coordinator.
 func (c *config) parseAddresses() (err error) {
 	c.listenAddr, err = netip.ParseAddrPort(c.Listen)
--- a/cmd/edgeproxy/main.go
+++ b/cmd/edgeproxy/main.go
@@ -79,6 +79,7 @@
 	}
 	cfg.proxy.DroppedLogLines = out.Dropped
 	cfg.proxy.OnViolation = onViolation
+	cfg.proxy.ClaimedIDs = cfg.openClaimedIDs(os.Getenv, logger)
 	p := proxy.New(loop, cfg.proxy, logger)
 	if err := openListeners(p, cfg); err != nil {
 		return err
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cloverdoor/internal/connpool"
+	"cloverdoor/internal/dedup"
 	"cloverdoor/internal/settings"
 	"cloverdoor/internal/watch"
 )
@@ -39,6 +40,8 @@
 	MaxMemoryBytes         int                // bytes that the process may use
 	TransferBytesPerSecond float64            // rate of one transfer; 0: unknown
 
+	ClaimedIDs *dedup.Table // the ids of writes, which may be shared with another process; nil: a table of its own
+
 	DroppedLogLines func() int64         // number of log lines dropped so far; nil: unknown
 	OnViolation     func(message string) // called when the invariant checker finds a violation; nil: it is only counted
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,12 +4,14 @@
 // (package policy).
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
 	"cloverdoor/internal/connpool"
+	"cloverdoor/internal/dedup"
 	"cloverdoor/internal/eventloop"
 	"cloverdoor/policy"
 )
@@ -38,6 +40,7 @@
 	memory     *memoryBudget
 	counters   *counters
 	invariants *invariantChecker
+	claimedIDs *dedup.Table // of writes that may run, or may have run
 
 	pendingEvents     []policy.Event     // events not handed to the decision module yet
 	requests          map[int64]*request // by request.number
@@ -68,6 +71,7 @@
 		requests:          map[int64]*request{},
 		maxUpstreamConns:  MaxUpstreamConns(cfg.MaxDescriptors),
 		countDroppedLines: cfg.DroppedLogLines,
+		claimedIDs:        cmp.Or(cfg.ClaimedIDs, dedup.New()),
 	}
 	p.invariants = newInvariantChecker(p, cfg.OnViolation)
 	p.pools = connpool.New(loop, connpool.Limits{}, p.openUpstream)
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -57,6 +57,10 @@
 		p.rejectUnsubmitted(parsed, responder, rejection(verdict))
 		return 0
 	}
+	if !p.claimID(parsed) {
+		p.failRepeated(parsed, responder)
+		return 0
+	}
 	q := p.admit(parsed, responder)
 	p.notify(policy.Request{
 		ID:        q.number,
@@ -273,4 +277,5 @@
 	p.loop.Stop(q.timer)
 	p.memory.openRequests -= q.memoryBytes()
 	delete(p.requests, q.number)
+	p.releaseID(q)
 }
