Endpoints: a server that comes up at an address ends the one before there

Cause: nothing compared the addresses of endpoints; the old one counted as serving until its own end was told.

Change: of two endpoints at one address the one that started earlier has gone, in the pools and the decision module.

Result: TestServerIsNotTakenForTheOneBefore fails on the code before in three of five forms and passes. Writes that run twice: not shown, TestWriteIsNotRepeatedAtTheSameAddress holds before and after. Command: go test ./cmd/edgeproxy -run 'TakenForTheOne|RepeatedAtTheSame' -v

--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -36,6 +36,7 @@
 
 	kinds, zones []string         // names in the settings; the decision module uses their indices
 	startMillis  map[string]int64 // reported start of each endpoint in use, by id, in Unix milliseconds
+	addresses    addressOwners    // of the endpoints in use
 }
 
 // endpointStates maps the coordinator's states to the decision module's. Any other state counts as removed.
@@ -51,12 +52,17 @@
 // apply applies a full list of endpoints, or changes to it, and calls notify. Changes cost in proportion to their number.
 func (t *endpointTable) apply(update *watch.EndpointUpdate) {
 	t.observeStarts(update)
+	t.releaseAddresses(update)
 	inUse := map[string]bool{} // by id of an endpoint in the update: whether it is in use afterwards
 	decoded := policy.EndpointUpdate{Full: update.Full}
 	for _, entry := range update.Endpoints {
-		endpoint := t.applyEntry(entry, update.Full)
+		endpoint, replaced := t.applyEntry(entry, update.Full)
 		inUse[entry.ID] = endpoint.State != policy.Removed
 		decoded.Endpoints = append(decoded.Endpoints, endpoint)
+		for _, id := range replaced {
+			inUse[id] = false
+			decoded.Endpoints = append(decoded.Endpoints, unplacedEndpoint(id))
+		}
 	}
 	for id, stays := range inUse {
 		if !stays {
@@ -69,6 +75,23 @@
 	t.notify(decoded)
 }
 
+// releaseAddresses forgets the addresses of the endpoints that an update determines, before any of its entries is applied:
+// none of them counts as being at its former address.
+func (t *endpointTable) releaseAddresses(update *watch.EndpointUpdate) {
+	if update.Full {
+		t.addresses = addressOwners{}
+		return
+	}
+	for _, entry := range update.Endpoints {
+		t.addresses.remove(entry.ID)
+	}
+}
+
+// unplacedEndpoint returns a removed endpoint of no kind and zone.
+func unplacedEndpoint(id string) policy.Endpoint {
+	return policy.Endpoint{ID: id, State: policy.Removed, Kind: -1, Zone: -1}
+}
+
 // removeUnlisted removes the endpoints that a full list does not name.
 func (t *endpointTable) removeUnlisted(listed map[string]bool) {
 	for id := range t.startMillis {
@@ -82,6 +105,7 @@
 func (t *endpointTable) remove(id string) {
 	if _, known := t.startMillis[id]; known {
 		delete(t.startMillis, id)
+		t.addresses.remove(id)
 		t.pools.RemoveEndpoint(id)
 	}
 }
@@ -121,27 +145,41 @@
 }
 
 // applyEntry decodes one endpoint and passes its address to the pools. An entry that can't be decoded counts as
-// removed, because the endpoint can't be used and the entry may have said that it is draining.
-func (t *endpointTable) applyEntry(entry watch.Endpoint, fullList bool) policy.Endpoint {
+// removed, because the endpoint can't be used and the entry may have said that it is draining. So does one whose address
+// belongs to an endpoint that started later. replaced are the endpoints at its address that started earlier: they have
+// gone.
+func (t *endpointTable) applyEntry(entry watch.Endpoint, fullList bool) (decoded policy.Endpoint, replaced []string) {
 	endpoint, addr, err := t.decode(entry)
 	if err != nil {
 		t.log.Warn("endpoint removed, entry unreadable", "server", entry.ID, "error", err)
 		endpoint.State = policy.Removed
-		return endpoint
+		return endpoint, nil
 	}
 	if !fullList { // a full list may have thousands of entries
 		t.log.Info("endpoint changed", "server", entry.ID, "state", entry.State, "started_ms", entry.StartedMillis)
 	}
 	if endpoint.State == policy.Removed {
-		return endpoint
+		return endpoint, nil
+	}
+	for _, other := range t.addresses.others(addr, entry.ID) {
+		switch otherStart := t.startMillis[other]; {
+		case otherStart > entry.StartedMillis:
+			t.log.Warn("endpoint removed, another one has its address", "server", entry.ID, "other", other)
+			endpoint.State = policy.Removed
+			return endpoint, nil
+		case otherStart < entry.StartedMillis:
+			t.log.Warn("endpoint removed, another one has its address", "server", other, "other", entry.ID)
+			replaced = append(replaced, other)
+		}
 	}
 	previousStart, known := t.startMillis[entry.ID]
 	if known && previousStart != entry.StartedMillis {
 		t.pools.DiscardConns(entry.ID)
 	}
 	t.startMillis[entry.ID] = entry.StartedMillis
+	t.addresses.set(entry.ID, addr)
 	t.pools.SetAddress(entry.ID, addr)
-	return endpoint
+	return endpoint, replaced
 }
 
 // decode decodes one entry of an update. A removed endpoint needs no valid address, kind or zone.
