Clients: those that ask again at once make room for new ones

Cause: only a client idle for 100 ms could be evicted, and each request started that time anew; so did an answer that was not acknowledged yet.

Change: clients none of whose requests could be used go first, once they have their answers; when nobody could be evicted for 0.25 s, the one with the most requests for its age.

--- a/cmd/edgeproxy/env_test.go
+++ b/cmd/edgeproxy/env_test.go
@@ -22,7 +22,7 @@
 const (
 	// defaultMemoryMB is the memory limit of the program, in MiB, unless a test sets another.
 	defaultMemoryMB = 192
-	// testSockets is the limit of descriptors of the program.
+	// testSockets is the limit of descriptors of the program, unless a test sets another.
 	testSockets = 1024
 	// retryInterval is the time between two checks of a condition in eventually.
 	retryInterval = 5 * time.Millisecond
@@ -51,6 +51,7 @@
 	inheritedSocket *os.File      // listening socket for clients, as the platform passes it; nil: the program opens its own
 	clock           *manualClock  // clock of the program; nil: the system clock
 	memoryMB        int           // memory limit of the program, MiB
+	sockets         int           // limit of descriptors of the program
 	classDeadline   time.Duration // deadline of the classes in the settings; 0: they have none
 	extraEnv        []string      // additional environment variables of the program
 }
@@ -70,7 +71,7 @@
 	t.Helper()
 	return &testEnv{
 		t: t, followLines: make(chan string, 100), cache: newFakeServer(t), origin: newFakeServer(t), exited: make(chan error, 1),
-		stderr: os.Stderr, memoryMB: defaultMemoryMB,
+		stderr: os.Stderr, memoryMB: defaultMemoryMB, sockets: testSockets,
 	}
 }
 
@@ -91,7 +92,7 @@
 	}
 	env.cmd, env.configPath = programCommand(env.t, map[string]any{
 		"name": "n1", "listen": env.addr, "admin_addr": env.adminAddr, "seed": "8c1f30d27a5be964", "coordinator": coordinator,
-		"limits": map[string]any{"cores": 1, "memory_mb": env.memoryMB, "sockets": testSockets},
+		"limits": map[string]any{"cores": 1, "memory_mb": env.memoryMB, "sockets": env.sockets},
 		"known":  map[string]any{"index": len(events), "updates": events},
 		"settings": map[string]any{
 			"areas": []string{"hub", "edge"}, "host-types": []string{"std", "parent", "origin"}, "zone": 1, "group-size": 1,
--- a/cmd/edgeproxy/flood_test.go
+++ b/cmd/edgeproxy/flood_test.go
@@ -283,3 +283,66 @@
 		})
 	}
 }
+
+// Guards against clients that ask again as soon as they are answered and so keep new ones out for as long as they like
+// (review/9): they hold all places, and none of them is ever idle for long.
+func TestClientsThatAskAgainMakeRoom(t *testing.T) {
+	const (
+		sockets        = 256
+		clients, pause = 130, 20 * time.Millisecond // more than the program accepts
+		length         = 4 * time.Second            // longer than a new client waits
+		dialInterval   = 50 * time.Millisecond
+	)
+	for name, params := range map[string]map[string]string{
+		"requests that can't be used": {"SCRIPT_NAME": "/ops/nothing"},
+		"requests that can be used": {"SCRIPT_NAME": "/ops/artes", "HTTP_REQ_ID": "18ee8a2be1f6a125", "HTTP_REQ_WAIT_MS": "1500",
+			"HTTP_REQ_KEY": "00000000000000ff", "HTTP_X_PIECE": "3", "HTTP_X_LOT": "17"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.sockets = sockets
+			env.classDeadline = 1500 * time.Millisecond
+			env.startWith(env.cache.Addr(), env.origin.Addr())
+			env.cache.answerAll("served", "-", "fine")
+			go discardAll(env.cache.stops)
+			end := time.Now().Add(length)
+			for range clients {
+				go askAgain(env.addr, params, pause, end)
+			}
+			time.Sleep(length / 10) // until they hold all places
+			for time.Now().Before(end) {
+				c := env.dial()
+				sentAt := time.Now()
+				c.request(1, "artes", 1500, 1, "")
+				select {
+				case a := <-c.answers:
+					if a.id == 0 {
+						t.Errorf("a new connection was closed without an answer after %v", time.Since(sentAt))
+					}
+				case <-time.After(1500*time.Millisecond + lateAnswer):
+					t.Errorf("a request on a new connection got no answer in time")
+				}
+				time.Sleep(dialInterval)
+			}
+		})
+	}
+}
+
+// askAgain connects and sends a request, and the same again a pause after each answer, until end or until its connection is
+// closed.
+func askAgain(addr string, params map[string]string, pause time.Duration, end time.Time) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	defer conn.Close() //nolint:errcheck // the program may have closed it
+	c := newClient(conn)
+	for time.Now().Before(end) {
+		c.writeRequest(1, params, "")
+		if a := <-c.answers; a.id == 0 {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -33,13 +33,14 @@
 	conn    *eventloop.Conn
 	decoder fastcgi.Decoder
 
-	openRequests     map[uint16]int64    // request numbers, or notSubmitted, by FastCGI id; nil once closed
-	blocked          []blockedRequest    // the oldest first
-	completeRequests int                 // number of requests received completely, or rejected before they were complete
-	closeWhenDone    bool                // no further request will be read; the connection is closed once all are answered
-	closeReason      closeReason         // why the connection closes; empty: it does not, or its peer closes it
-	closingSince     eventloop.Timestamp // when the graceful close began; 0: it has not
-	hold             connHold            // why it is still open although clients are to be disconnected
+	openRequests      map[uint16]int64    // request numbers, or notSubmitted, by FastCGI id; nil once closed
+	blocked           []blockedRequest    // the oldest first
+	completeRequests  int                 // number of requests received completely, or rejected before they were complete
+	sentUsableRequest bool                // one of them could be used
+	closeWhenDone     bool                // no further request will be read; the connection is closed once all are answered
+	closeReason       closeReason         // why the connection closes; empty: it does not, or its peer closes it
+	closingSince      eventloop.Timestamp // when the graceful close began; 0: it has not
+	hold              connHold            // why it is still open although clients are to be disconnected
 
 	partialBytes    int                 // memory of partial and blocked requests
 	skipBytes       int                 // bytes of a discarded record that have not been received yet
@@ -161,6 +162,7 @@
 	c.closeUnlessKept(r.KeepConn)
 	to := &responder{conn: c, id: r.ID}
 	if r.Script == healthPath {
+		c.sentUsableRequest = true
 		c.answerHealthCheck(to)
 		return
 	}
@@ -170,6 +172,7 @@
 		to.writeError(statusBadRequest, err)
 		return
 	}
+	c.sentUsableRequest = true
 	if c.hasNoTimeForAnswer() {
 		c.server.handler.rejectUnsubmitted(parsed, to, Answer{
 			Status: Rejected, RetryAfter: unsubmittedRetryAfter, Reason: policy.ReasonStopping,
--- a/internal/proxy/eviction_test.go
+++ b/internal/proxy/eviction_test.go
@@ -8,7 +8,7 @@
 // Eviction classes are numbered in the order of eviction. Classes that are evicted later require a longer idle
 // time.
 func TestEvictionClasses(t *testing.T) {
-	classes := []evictionClass{silentClient, idleClient, partialClient}
+	classes := []evictionClass{unusableClient, silentClient, idleClient, partialClient}
 	previousIdleTime := time.Duration(0)
 	for i, class := range classes {
 		if int(class) != i {
--- a/internal/proxy/fastcgiserver.go
+++ b/internal/proxy/fastcgiserver.go
@@ -79,7 +79,8 @@
 	maxConns      int
 	acceptedConns int64 // number of connections accepted so far; also the newest connection's number in the log
 
-	nextHoldReport eventloop.Timestamp // see reportHeldConns
+	noCapacitySince eventloop.Timestamp // since when nobody could be evicted for a new client; 0: somebody could
+	nextHoldReport  eventloop.Timestamp // see reportHeldConns
 }
 
 // start begins the periodic checks of the connections that ln accepts.
