Watch: unreadable lines in a row close one stream each, without a pause

Cause: only the last unreadable line was remembered, so that two of them closed streams in turn, with pauses that grow.

Change: up to 16 are remembered, and the watch connects at once after one.

--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -59,7 +59,7 @@
 
 	lastIndex          int64               // index of the newest event that was delivered or skipped
 	lastReadableLineAt eventloop.Timestamp // when the last readable line arrived on any stream, or the watch started
-	lastUnreadable     unreadableLine
+	unreadable         unreadableLines
 	lastGap            eventGap
 
 	// upToDateAt is the latest known time before which no event after lastIndex was published.
@@ -74,10 +74,18 @@
 // index received (beforeIndex).
 type eventGap struct{ afterIndex, beforeIndex int64 }
 
-// unreadableLine is a line that could not be decoded, with its place among the events.
-type unreadableLine struct {
-	content    []byte
-	afterIndex int64 // index of the last event delivered before the line
+// maxUnreadableLines is the number of unreadable lines that are remembered.
+const maxUnreadableLines = 16
+
+// unreadableLines are the lines behind one event that could not be decoded.
+type unreadableLines struct {
+	contents   [][]byte
+	afterIndex int64 // index of the last event delivered before the lines
+}
+
+// has reports whether a line is among them.
+func (u *unreadableLines) has(line []byte) bool {
+	return slices.ContainsFunc(u.contents, func(content []byte) bool { return bytes.Equal(content, line) })
 }
 
 // start opens the first stream.
@@ -174,13 +182,16 @@
 	w.stalls = 0
 }
 
-// isRepeatedUnreadable reports whether the previous unreadable line was the same and followed the same event. If
-// not, it remembers this one.
+// isRepeatedUnreadable reports whether the line was unreadable behind the same event before. If not, it remembers the line.
+// Where there are too many, each counts as repeated, so that none of them closes a stream.
 func (w *coordinatorWatch) isRepeatedUnreadable(line []byte) bool {
-	if w.lastUnreadable.afterIndex == w.lastIndex && bytes.Equal(w.lastUnreadable.content, line) {
+	if w.unreadable.afterIndex != w.lastIndex {
+		w.unreadable = unreadableLines{afterIndex: w.lastIndex}
+	}
+	if w.unreadable.has(line) || len(w.unreadable.contents) >= maxUnreadableLines {
 		return true
 	}
-	w.lastUnreadable = unreadableLine{content: bytes.Clone(line), afterIndex: w.lastIndex}
+	w.unreadable.contents = append(w.unreadable.contents, bytes.Clone(line))
 	return false
 }
 
--- a/internal/proxy/watchrecovery_test.go
+++ b/internal/proxy/watchrecovery_test.go
@@ -248,3 +248,36 @@
 		t.Errorf("event 2 was not delivered within %v; the streams followed from %v", took, h.followedIndices())
 	}
 }
+
+// TestUnreadableLinesInARowDelayNoEvent guards against an event that waits behind two unreadable lines (soak, seed 104): each of
+// them closed its stream, and the next one was opened after a pause that grew.
+func TestUnreadableLinesInARowDelayNoEvent(t *testing.T) {
+	const maxDelay = 300 * time.Millisecond // within which purges are obeyed
+	for _, unreadable := range []int{1, 2, 3, 5} {
+		for _, apart := range []time.Duration{harnessStep, 2 * harnessStep, 4 * harnessStep} {
+			h := newWatchHarness(t, func(int) streamScript {
+				return func(s *fakeStream) {
+					for s.sent < len(s.harness.lines) && !s.closed {
+						line := s.nextLine()
+						if index := s.sent + 1; index >= 2 && index < 2+unreadable {
+							line = fmt.Sprintf("{broken %d\n", index)
+						}
+						s.write(line)
+						s.sent++
+					}
+					sendAll(s)
+				}
+			})
+			h.run(2 * time.Second)
+			for range unreadable {
+				h.publish(drainEvent)
+				h.run(apart)
+			}
+			h.publish(drainEvent)
+			if took := h.runUntil(int64(2+unreadable), time.Minute); took > maxDelay {
+				t.Errorf("%d unreadable lines, %v apart: the event behind them was delivered after %v", unreadable, apart, took)
+			}
+			h.close()
+		}
+	}
+}
--- a/internal/proxy/watchretry.go
+++ b/internal/proxy/watchretry.go
@@ -4,9 +4,12 @@
 // reconnects.
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"cloverdoor/internal/watch"
 )
 
 const (
@@ -118,8 +121,8 @@
 	return mostAdvanced
 }
 
-// scheduleReconnect schedules a reconnect after the backoff, unless one is scheduled already or a healthy stream is
-// open. err is the logged reason.
+// scheduleReconnect schedules a reconnect after the backoff, or at once after an unreadable line, unless one is scheduled
+// already or a healthy stream is open. err is the logged reason.
 func (w *coordinatorWatch) scheduleReconnect(err error) {
 	if w.reconnectTimer != nil || w.hasHealthyStream() {
 		return
@@ -127,6 +130,11 @@
 	if w.backoff == minReconnectBackoff { // once for each outage
 		w.log.Warn("coordinator watch lost, reconnecting", "error", err, "event", w.lastIndex)
 	}
+	if errors.Is(err, watch.ErrMalformed) {
+		// The coordinator is there. isRepeatedUnreadable bounds the number of streams that unreadable lines close.
+		w.reconnectTimer = w.loop.At(w.loop.Now(), w.reconnect)
+		return
+	}
 	w.reconnectTimer = w.loop.At(w.loop.Now()+jitteredBackoff(w.backoff, w.rng), w.reconnect)
 	w.backoff = min(2*w.backoff, maxReconnectBackoff)
 }
