--- a/cmd/edgeproxy/coordinatorenv_test.go
+++ b/cmd/edgeproxy/coordinatorenv_test.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// writeWatch writes text on the current stream, for use by any goroutine. A lost stream shows in what the program knows.
+func (env *testEnv) writeWatch(text string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	io.WriteString(env.watchConn, text) //nolint:errcheck // see above
+}
+
 // awaitEventsApplied waits until the program has applied all events sent so far. It sends a malformed line behind
 // them and waits for the reconnect with which the program reacts to that line.
 func (env *testEnv) awaitEventsApplied() {
--- a/cmd/edgeproxy/drainhabits_test.go
+++ b/cmd/edgeproxy/drainhabits_test.go
@@ -103,6 +103,22 @@
 // sent SIGTERM.
 const killDelay = 700 * time.Millisecond
 
+// stopBeforeTheKill stops the program and checks that it exits before the platform may kill it. It returns the time of the
+// signal.
+func (env *testEnv) stopBeforeTheKill() (signalledAt time.Time) {
+	env.t.Helper()
+	signalledAt = time.Now()
+	env.signal(syscall.SIGTERM)
+	select {
+	case err := <-env.exited:
+		env.t.Logf("exited after %v: %v", time.Since(signalledAt), err)
+	case <-time.After(env.classDeadline + killDelay):
+		env.t.Errorf("the process had to be killed")
+		env.signal(syscall.SIGKILL)
+	}
+	return signalledAt
+}
+
 // TestExitBeforeTheKillWhileClientsSend guards against a shutdown that clients delayed for as long as they kept sending,
 // so that the kill found requests unanswered (report 06224d).
 func TestExitBeforeTheKillWhileClientsSend(t *testing.T) {
@@ -113,15 +129,7 @@
 			env.classDeadline = deadline
 			env.startWith(env.cache.Addr(), env.origin.Addr())
 			clients := env.startHabits(steadyHabits())
-			signalledAt := time.Now()
-			env.signal(syscall.SIGTERM)
-			select {
-			case err := <-env.exited:
-				t.Logf("exited after %v: %v", time.Since(signalledAt), err)
-			case <-time.After(deadline + killDelay):
-				t.Errorf("the process had to be killed")
-				env.signal(syscall.SIGKILL)
-			}
+			signalledAt := env.stopBeforeTheKill()
 			checkEnds(t, clients, signalledAt, time.Now().Add(time.Second))
 		})
 	}
@@ -159,15 +167,7 @@
 			env.classDeadline = deadline
 			env.startWith(env.cache.Addr(), env.origin.Addr())
 			clients := env.startHabits(pausingReaders())
-			signalledAt := time.Now()
-			env.signal(syscall.SIGTERM)
-			select {
-			case err := <-env.exited:
-				t.Logf("exited after %v: %v", time.Since(signalledAt), err)
-			case <-time.After(deadline + killDelay):
-				t.Errorf("the process had to be killed")
-				env.signal(syscall.SIGKILL)
-			}
+			signalledAt := env.stopBeforeTheKill()
 			ableClients := slices.DeleteFunc(clients, func(c *habitClient) bool { return !c.canRead(halfObjectBytes, deadline) })
 			checkEnds(t, ableClients, signalledAt, time.Now().Add(time.Second))
 		})
--- a/cmd/edgeproxy/fleet_test.go
+++ b/cmd/edgeproxy/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -100,8 +101,10 @@
 	for _, event := range replacements(replaced) {
 		fmt.Fprintf(&lines, "%s\n", mustMarshal(t, event))
 	}
-	go env.sendEvent(strings.TrimSuffix(lines.String(), "\n"))
+	var sent sync.WaitGroup
+	sent.Go(func() { env.writeWatch(lines.String()) })
 	served := env.checkAnswersInTime(2 * time.Second)
+	sent.Wait()
 	if served == 0 {
 		t.Error("no request was served")
 	}
--- a/internal/eventloop/turn_test.go
+++ b/internal/eventloop/turn_test.go
@@ -49,8 +49,7 @@
 	clock := &testClock{now: Timestamp(time.Now().UnixNano())}
 	turn := 0
 	var readers []*costlyReader
-	var listener *testListener
-	listener = newTestListenerWithClock(t, clock, func() bool { return true }, func(c *Conn) Handler {
+	listener := newTestListenerWithClock(t, clock, func() bool { return true }, func(c *Conn) Handler {
 		r := &costlyReader{clock: clock, conn: c, costPerByte: costPerByte, turn: &turn}
 		if len(readers) == floodingClients {
 			r.group = Operators
--- a/policy/topology.go
+++ b/policy/topology.go
@@ -65,10 +65,9 @@
 	if !r.isCache(e) {
 		return
 	}
-	capacity := r.linkCapacity(e, defaultLinkCapacity)
-	r.cacheCapacity.add(capacity)
+	r.countCapacity(e, (*capacitySum).add)
 	if e.Zone == r.settings.Zone {
-		r.zoneCacheCapacity.add(capacity)
+		capacity := r.linkCapacity(e, defaultLinkCapacity)
 		e.link.configure(capacity, r.routersInZone(), r.settings.WeightsConfigured)
 	}
 }
@@ -83,13 +82,17 @@
 			*tier = slices.Delete(*tier, index, index+1)
 		}
 	}
-	if !r.isCache(e) {
-		return
+	if r.isCache(e) {
+		r.countCapacity(e, (*capacitySum).subtract)
 	}
+}
+
+// countCapacity adds the capacity of a cache to the totals, or subtracts it from them.
+func (r *Router) countCapacity(e *endpointState, count func(*capacitySum, float64)) {
 	capacity := r.linkCapacity(e, defaultLinkCapacity)
-	r.cacheCapacity.subtract(capacity)
+	count(&r.cacheCapacity, capacity)
 	if e.Zone == r.settings.Zone {
-		r.zoneCacheCapacity.subtract(capacity)
+		count(&r.zoneCacheCapacity, capacity)
 	}
 }
 
