Watch: a pause that does not grow after an unreadable line, instead of none

Cause: since the watch connected at once after an unreadable line, so that the test's request came within the millisecond of its purge, whose age is 1 ms at the least on the wire. A line that all proxies get would also have brought all of them back at once.

Change: after an unreadable line the pause is the first one, with its jitter, and does not grow.

--- a/internal/proxy/watchretry.go
+++ b/internal/proxy/watchretry.go
@@ -121,8 +121,8 @@
 	return mostAdvanced
 }
 
-// scheduleReconnect schedules a reconnect after the backoff, or at once after an unreadable line, unless one is scheduled
-// already or a healthy stream is open. err is the logged reason.
+// scheduleReconnect schedules a reconnect after the backoff, unless one is scheduled already or a healthy stream is
+// open. An unreadable line ends an outage. err is the logged reason.
 func (w *coordinatorWatch) scheduleReconnect(err error) {
 	if w.reconnectTimer != nil || w.hasHealthyStream() {
 		return
@@ -130,10 +130,8 @@
 	if w.backoff == minReconnectBackoff { // once for each outage
 		w.log.Warn("coordinator watch lost, reconnecting", "error", err, "event", w.lastIndex)
 	}
-	if errors.Is(err, watch.ErrMalformed) {
-		// The coordinator is there. isRepeatedUnreadable bounds the number of streams that unreadable lines close.
-		w.reconnectTimer = w.loop.At(w.loop.Now(), w.reconnect)
-		return
+	if errors.Is(err, watch.ErrMalformed) { // the coordinator is there: the pause does not grow
+		w.backoff = minReconnectBackoff
 	}
 	w.reconnectTimer = w.loop.At(w.loop.Now()+jitteredBackoff(w.backoff, w.rng), w.reconnect)
 	w.backoff = min(2*w.backoff, maxReconnectBackoff)
