--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -46,8 +46,8 @@
 	return e.Kind != r.settings.ParentKind && e.Kind != r.settings.OriginKind
 }
 
-// apply updates the endpoints. An endpoint that is missing from a full list is removed. Changes cost in proportion
-// to their number, a full list in proportion to the number of endpoints.
+// apply updates the endpoints. An endpoint that is missing from a full list is removed. Changes cost in
+// proportion to their number, a full list in proportion to the number of endpoints.
 func (update EndpointUpdate) apply(r *Router) {
 	if update.Full {
 		r.applyFullList(update.Endpoints)
@@ -93,8 +93,8 @@
 	return e
 }
 
-// removedEndpoints lists endpoints in the order in which they were removed. An endpoint may be in it more than
-// once, or have returned since.
+// removedEndpoints lists endpoints in the order in which they were removed. An endpoint may be in it more
+// than once, or have returned since.
 type removedEndpoints []removedEndpoint
 
 // removedEndpoint is one removal of an endpoint.
