--- a/policy/router.go
+++ b/policy/router.go
@@ -9,8 +9,8 @@
 //     (which endpoint of a tier), fillsource.go and fetchoptions.go (misses), retry.go, overdue.go,
 //     idempotency.go
 //   - limits on load: loadshedding.go, slowstart.go, originlimit.go, outliers.go
-//   - state and estimates: endpoints.go, topology.go, links.go, linkpace.go, transfertime.go, cacheindex.go, purges.go,
-//     estimators.go
+//   - state and estimates: endpoints.go, topology.go, links.go, linkpace.go, transfertime.go,
+//     cacheindex.go, purges.go, estimators.go
 //   - guards: guard.go and verdict.go, which check these rules again right before the proxy acts.
 package policy
 
--- a/policy/topology.go
+++ b/policy/topology.go
@@ -116,8 +116,8 @@
 	})
 }
 
-// preferredOrigin returns the origin to use: of several, a ready one is preferred to a draining one. It is nil
-// while none is listed.
+// preferredOrigin returns the origin to use: of several, a ready one is preferred to a draining one. It is
+// nil while none is listed.
 func preferredOrigin(origins []*endpointState) *endpointState {
 	var preferred *endpointState
 	for _, e := range origins {
@@ -137,8 +137,8 @@
 }
 
 // configureUpperLinks selects the origin and sets the nominal capacity of the links to the parents, to the
-// origin and into the zone. Where none is configured, a tier is assumed to have the capacity that the fills of
-// the tier below need.
+// origin and into the zone. Where none is configured, a tier is assumed to have the capacity that the fills
+// of the tier below need.
 func (r *Router) configureUpperLinks() {
 	r.origin = preferredOrigin(r.origins)
 	routers := float64(max(1, r.settings.Routers))
